--- /dev/null
+++ b/config/manifest/manifest.go
@@ -0,0 +1,121 @@
+package manifest
+
+import "hyssopbridge/fleet"
+
+// FormatVersion is the manifest format that this package reads.
+const FormatVersion = 1
+
+// Preference states which detection error a service minds more.
+type Preference string
+
+// Preferences.
+const (
+	PreferDetection Preference = "detection" // short detection time
+	PreferService   Preference = "service"   // few false ejections
+)
+
+// Manifest is one published document.
+type Manifest struct {
+	Version  int       `json:"version"`           // format version; required, 1
+	Mandate  string    `json:"mandate"`           // name of the mandate; required
+	Term     int64     `json:"term"`              // raised when a withdrawn mandate is granted again; required, >= 1
+	Holder   string    `json:"holder"`            // firm that holds the mandate; required
+	Services []Service `json:"services"`          // at least one
+	Comment  string    `json:"comment,omitempty"` // free text
+}
+
+// Service describes one service, its limits and its routes.
+type Service struct {
+	Name        string     `json:"name"`
+	Floor       int        `json:"floor"`                 // targets that ejection leaves in service; default 1
+	Prefer      Preference `json:"prefer,omitempty"`      // default "service"
+	Slots       int        `json:"slots,omitempty"`       // upper bound on slots of one instance; default 5
+	Connections int        `json:"connections,omitempty"` // upper bound on connections of one instance; default 300
+	Queue       int        `json:"queue,omitempty"`       // requests waiting at one instance; default 2 x slots
+	Routes      []Route    `json:"routes"`
+	Objective   Objective  `json:"objective"`
+}
+
+// Route maps requests to a service.
+type Route struct {
+	Name       string      `json:"name"`              // unique within the service
+	Host       string      `json:"host,omitempty"`    // exact host name; empty for any
+	Path       string      `json:"path"`              // exact path, or a prefix that ends in "/*"
+	Methods    []string    `json:"methods,omitempty"` // empty for any
+	Class      fleet.Class `json:"class"`
+	Idempotent bool        `json:"idempotent"`                // whether a request may run more than once
+	TimeoutMS  int         `json:"timeout_ms,omitempty"`      // total time in ms; for downloads, time to the first byte; default 10000
+	Rate       *Rate       `json:"rate,omitempty"`            // per customer; absent for none
+	MaxBody    int64       `json:"max_body_bytes,omitempty"`  // request body limit in bytes; default 1 MiB
+	StallMS    int         `json:"stall_ms,omitempty"`        // longest gap between body bytes in ms; default 5000
+	CustomerBy string      `json:"customer_header,omitempty"` // header that names the customer; default "Customer-Id"
+}
+
+// Rate is a limit on the requests of one customer, fleet-wide.
+type Rate struct {
+	PerSecond float64 `json:"per_second"`
+	Burst     int     `json:"burst"`
+}
+
+// Objective is the service level that the burn report measures.
+type Objective struct {
+	Target    float64 `json:"target,omitempty"`       // share of good requests; default 0.999
+	LatencyMS int     `json:"latency_ms,omitempty"`   // an answer is in time within this; default 1000
+	WindowH   int     `json:"window_hours,omitempty"` // budget window in hours; default 720
+}
+
+// Defaults of optional fields.
+const (
+	DefaultFloor          = 1
+	DefaultSlots          = 5
+	DefaultConnections    = 300
+	DefaultTimeoutMS      = 10_000
+	DefaultMaxBodyBytes   = 1 << 20
+	DefaultStallMS        = 5_000
+	DefaultObjective      = 0.999
+	DefaultObjectiveMS    = 1_000
+	DefaultWindowHours    = 720
+	DefaultCustomerHeader = "Customer-Id"
+)
+
+// SetDefaults fills optional fields that are absent.
+func (m *Manifest) SetDefaults() {
+	for i := range m.Services {
+		m.Services[i].setDefaults()
+	}
+}
+
+func (s *Service) setDefaults() {
+	setInt(&s.Floor, DefaultFloor)
+	setInt(&s.Slots, DefaultSlots)
+	setInt(&s.Connections, DefaultConnections)
+	setInt(&s.Queue, 2*s.Slots)
+	if s.Prefer == "" {
+		s.Prefer = PreferService
+	}
+	if s.Objective.Target == 0 {
+		s.Objective.Target = DefaultObjective
+	}
+	setInt(&s.Objective.LatencyMS, DefaultObjectiveMS)
+	setInt(&s.Objective.WindowH, DefaultWindowHours)
+	for i := range s.Routes {
+		s.Routes[i].setDefaults()
+	}
+}
+
+func (r *Route) setDefaults() {
+	setInt(&r.TimeoutMS, DefaultTimeoutMS)
+	setInt(&r.StallMS, DefaultStallMS)
+	if r.MaxBody == 0 {
+		r.MaxBody = DefaultMaxBodyBytes
+	}
+	if r.CustomerBy == "" {
+		r.CustomerBy = DefaultCustomerHeader
+	}
+}
+
+func setInt(p *int, v int) {
+	if *p == 0 {
+		*p = v
+	}
+}
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl implements the commands of hyssopctl.
+package ctl
--- /dev/null
+++ b/platformlog/log.go
@@ -0,0 +1,51 @@
+package platformlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Record is what a writer appends.
+type Record struct {
+	ID     string `json:"id"`     // unique, chosen by the writer
+	Stream string `json:"stream"` // stream name
+	Data   []byte `json:"data"`
+}
+
+// Entry is a record that the log has taken.
+type Entry struct {
+	Offset int64     `json:"offset"`
+	Time   time.Time `json:"time"` // append time by the log's clock
+	Record
+}
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds r and returns its offset. It returns ErrUnknownOutcome when
+	// the record may or may not have been appended.
+	Append(ctx context.Context, r Record) (int64, error)
+	// Read returns at most max entries of the stream, starting at offset from.
+	// It returns an ExpiredError when from is no longer retained.
+	Read(ctx context.Context, stream string, from int64, max int) ([]Entry, error)
+	// Bounds returns the first retained offset and the next offset to be given.
+	Bounds(ctx context.Context, stream string) (first, next int64, err error)
+}
+
+// ErrUnknownOutcome is returned when the answer to an append was lost.
+var ErrUnknownOutcome = errors.New("append outcome unknown")
+
+// ErrUnavailable is returned when the log refuses or cannot be reached.
+var ErrUnavailable = errors.New("log unavailable")
+
+// ExpiredError is returned by Read when the offset is no longer retained.
+type ExpiredError struct {
+	From  int64 // requested offset
+	First int64 // first retained offset
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("offset %d expired, first retained offset is %d", e.From, e.First)
+}
--- /dev/null
+++ b/resultcode/resultcode.go
@@ -0,0 +1,154 @@
+package resultcode
+
+import "fmt"
+
+// Code is a numbered result of a request or of an operator command.
+type Code int
+
+// Ran states whether a request was run by a target.
+type Ran int
+
+// Values of Ran.
+const (
+	RanNo      Ran = iota // proven not run; a resend is safe
+	RanYes                // run by a target
+	RanUnknown            // may or may not have run
+)
+
+// String returns the value used in the Hb-Ran header.
+func (r Ran) String() string {
+	switch r {
+	case RanNo:
+		return "no"
+	case RanYes:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
+
+// Request result codes.
+const (
+	Answered Code = 1000
+
+	NoConfiguration  Code = 1101
+	NoRoute          Code = 1102
+	ServiceWithdrawn Code = 1103
+
+	NoTarget         Code = 1201
+	QueueFull        Code = 1202
+	DeadlineTooShort Code = 1203
+	TargetLeaving    Code = 1204
+	RateLimited      Code = 1205
+	ShedByTarget     Code = 1206
+	ConnectionLimit  Code = 1207
+	ClassShed        Code = 1208
+	NodeLeaving      Code = 1209
+	RetryBudgetSpent Code = 1210
+
+	PeerUnreachable    Code = 1301
+	PeerLost           Code = 1302
+	AnswerMismatch     Code = 1303
+	StaleConfiguration Code = 1304
+	NoLease            Code = 1305
+
+	UnknownOutcome Code = 1401
+	StillRunning   Code = 1402
+	RecordLost     Code = 1403
+	AnswerNotKept  Code = 1404
+	KeyReused      Code = 1405
+	KeyFromFuture  Code = 1406
+	Barred         Code = 1407
+
+	BadRequest     Code = 1501
+	HeaderTooLarge Code = 1502
+	BodyStalled    Code = 1503
+	CallerGone     Code = 1504
+	BodyTooLarge   Code = 1505
+
+	Truncated   Code = 1601
+	Stalled     Code = 1602
+	TargetError Code = 1603
+	Timeout     Code = 1604
+)
+
+// Operator command result codes.
+const (
+	CommandOK       Code = 2000
+	InvalidManifest Code = 2001
+	PublishConflict Code = 2002
+	PublishUnknown  Code = 2003
+	LogUnavailable  Code = 2004
+	NodeUnreachable Code = 2005
+	NotAuthorized   Code = 2006
+	PartialResult   Code = 2007
+	BadUsage        Code = 2008
+)
+
+// Info describes a code.
+type Info struct {
+	Code    Code
+	Name    string // short name used in the Hb-Result header
+	Status  int    // HTTP status; 0 for operator command results
+	Ran     Ran
+	Meaning string
+}
+
+// Lookup returns the description of c; ok is false for an undefined code.
+func Lookup(c Code) (info Info, ok bool) {
+	info, ok = byCode[c]
+	return info, ok
+}
+
+// All returns every defined code in ascending order.
+func All() []Info {
+	return append([]Info(nil), table...)
+}
+
+// String returns the number and the name of c.
+func (c Code) String() string {
+	info, ok := byCode[c]
+	if !ok {
+		return fmt.Sprintf("%d undefined", int(c))
+	}
+	return fmt.Sprintf("%d %s", int(c), info.Name)
+}
+
+// Status returns the HTTP status of c, or 500 for a code without one.
+func (c Code) Status() int {
+	if info, ok := byCode[c]; ok && info.Status != 0 {
+		return info.Status
+	}
+	return 500
+}
+
+// Ran returns what c says about the request having been run.
+func (c Code) Ran() Ran {
+	if info, ok := byCode[c]; ok {
+		return info.Ran
+	}
+	return RanUnknown
+}
+
+// Error is an error that carries a result code.
+type Error struct {
+	Code Code
+	Ran  Ran
+	Err  error // cause; may be nil
+}
+
+// New returns an Error with the Ran value that the code defines.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Ran: c.Ran(), Err: fmt.Errorf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Code.String()
+	}
+	return e.Code.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/resultcode/resultcode_test.go
@@ -0,0 +1,53 @@
+package resultcode
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+const docPath = "../docs/RESULT_CODES.md"
+
+func docTable() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nThis table is checked against `resultcode/table.go` by a test. `Ran` states whether a target may have run the request.\n\n")
+	b.WriteString("| Code | Name | HTTP status | Ran | Meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, i := range All() {
+		fmt.Fprintf(&b, "| %d | %s | %d | %s | %s |\n", i.Code, i.Name, i.Status, i.Ran, i.Meaning)
+	}
+	return b.String()
+}
+
+// Guards against a code that the operators' table lacks or describes differently.
+func TestDocumentedTable(t *testing.T) {
+	want := docTable()
+	if os.Getenv("UPDATE_DOCS") != "" {
+		if err := os.WriteFile(docPath, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(docPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("%s differs from the code; run UPDATE_DOCS=1 go test ./resultcode", docPath)
+	}
+}
+
+// Guards against two codes that share a number or a name.
+func TestCodesUnique(t *testing.T) {
+	names := map[string]Code{}
+	last := Code(0)
+	for _, i := range All() {
+		if i.Code <= last {
+			t.Errorf("code %d is not above %d", i.Code, last)
+		}
+		last = i.Code
+		if other, ok := names[i.Name]; ok {
+			t.Errorf("codes %d and %d share the name %q", other, i.Code, i.Name)
+		}
+		names[i.Name] = i.Code
+	}
+}
