--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,3 +109,35 @@
 	Instance
 	Node Node
 }
+
+// Member is a node in one incarnation, as named in a home group.
+type Member struct {
+	Node        string
+	Incarnation int64 // Unix ms
+}
+
+// HomeGroup is the set of nodes that may act as home for keyed orders of a
+// service, or as its arbiter, in one epoch.
+type HomeGroup struct {
+	Service string
+	Epoch   int64 // offset of the log record that set the group
+	Members []Member
+}
+
+// Ejection is one entry of an EjectionList.
+type Ejection struct {
+	Target  string  // instance ID
+	Weight  float64 // evidence of being unhealthy; a higher value is ejected first
+	Trial   float64 // share of idempotent work admitted while returning, 0 to 1
+	Reason  string
+	SinceMS int64 // Unix ms of the decision
+}
+
+// EjectionList holds the ejected targets of one service, worst first. A list
+// replaces another when its (Epoch, Seq) is higher.
+type EjectionList struct {
+	Service string
+	Epoch   int64 // epoch of the arbiter's lease
+	Seq     int64
+	Entries []Ejection
+}
