--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hyssopbridge/resultcode"
+	"hyssopbridge/upstream"
+)
+
+// attempt is one request to one target.
+type attempt struct {
+	c       *call
+	choice  Choice
+	resp    *http.Response
+	watch   Observation
+	started time.Time
+}
+
+// attempt sends the request to a target and returns once an answer that can be
+// passed on has begun.
+func (c *call) attempt() (*attempt, error) {
+	choice, err := c.e.cfg.Balancer.Pick(c.route, c.tried)
+	if err != nil {
+		return nil, err
+	}
+	c.attempts++
+	c.tried = append(c.tried, choice.ID)
+	a := &attempt{c: c, choice: choice, started: time.Now()}
+	a.watch = c.e.cfg.Observer.Start(c.route, choice.Endpoint)
+	if err := a.exchange(); err != nil {
+		a.end(err)
+		return nil, err
+	}
+	return a, nil
+}
+
+// end reports the outcome of the attempt and frees its target.
+func (a *attempt) end(err error) {
+	if a.resp != nil {
+		a.resp.Body.Close()
+	}
+	a.watch.End(a.outcome(err), time.Since(a.started))
+	a.choice.Done()
+}
+
+func (a *attempt) exchange() error {
+	out, opt := a.outgoing()
+	resp, err := a.c.e.cfg.Client.Do(a.c.ctx, a.choice.Node.PeerAddr, out, opt)
+	if err != nil {
+		return a.lost(exchangeError(a.c.ctx, err, resultcode.PeerUnreachable, resultcode.PeerLost))
+	}
+	a.resp = resp
+	if resp.Header.Get(HeaderRequestID) != a.c.id {
+		return resultcode.New(resultcode.AnswerMismatch, "answer for request %q, want %q", resp.Header.Get(HeaderRequestID), a.c.id)
+	}
+	if code, refused := peerResult(resp.Header); refused {
+		return &resultcode.Error{Code: code, Ran: parseRan(resp.Header.Get(HeaderRan)), Err: errPeerRefused}
+	}
+	return a.checkStatus()
+}
+
+var errPeerRefused = errors.New("refused by the host node")
+
+// lost tries to prove that a request whose answer was lost did not run.
+func (a *attempt) lost(err error) error {
+	re := asResult(err)
+	if re.Ran != resultcode.RanUnknown || a.c.route.Idempotent {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.c.ctx), settleTimeout)
+	defer cancel()
+	if a.c.e.cfg.Settler.NotRun(ctx, a.choice.Node, a.c.id) {
+		return re.NotRun()
+	}
+	return re
+}
+
+// settleTimeout bounds the question whether a request was admitted.
+const settleTimeout = 500 * time.Millisecond
+
+// checkStatus treats an answer that reports a fault of the target as a failed
+// attempt when another target may be asked.
+func (a *attempt) checkStatus() error {
+	if !a.c.route.Idempotent || a.c.attempts >= maxAttempts || !a.c.body.replayable() {
+		return nil
+	}
+	switch {
+	case isShed(a.resp):
+		return a.ifRetryable(resultcode.ShedByTarget)
+	case isFault(a.resp.StatusCode):
+		return a.ifRetryable(resultcode.TargetError)
+	}
+	return nil
+}
+
+// ifRetryable returns an error with code if the retry budget allows another
+// attempt. Otherwise the target's answer is passed on.
+func (a *attempt) ifRetryable(code resultcode.Code) error {
+	if !a.c.e.cfg.Budget.Retry(a.c.route.Service) {
+		return nil
+	}
+	return &resultcode.Error{Code: code, Ran: code.Ran(), Err: errBudgeted}
+}
+
+// errBudgeted marks a failed attempt whose retry is already paid for.
+var errBudgeted = errors.New("answer reports a fault")
+
+func isFault(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusBadGateway ||
+		status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// isShed reports whether a target refused work because of its load: 503 or 429
+// with a Retry-After header.
+func isShed(resp *http.Response) bool {
+	return (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests) &&
+		resp.Header.Get("Retry-After") != ""
+}
+
+func (a *attempt) outgoing() (*http.Request, upstream.Options) {
+	c := a.c
+	out := outgoingRequest(c.r)
+	out.Header = c.r.Header.Clone()
+	removeHopByHop(out.Header)
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil
+	}
+	out.Body, out.ContentLength, out.Trailer = c.body.reader(), c.body.length, c.body.trailer
+	if c.body.length < 0 {
+		out.TransferEncoding = []string{"chunked"}
+	}
+	a.setHop(out.Header)
+	if c.body.stream != nil {
+		return out, upstream.Options{ExpectContinue: true}
+	}
+	return out, upstream.Options{}
+}
+
+func (a *attempt) setHop(h http.Header) {
+	c := a.c
+	h[HeaderRequestID] = []string{c.id}
+	h[HeaderTarget] = []string{a.choice.ID + ";" + strconv.FormatInt(a.choice.Incarnation, 10)}
+	h[HeaderClass] = []string{c.route.Class.String()}
+	h[HeaderRoute] = []string{c.route.Name}
+	h[HeaderVersion] = []string{strconv.FormatInt(c.e.cfg.Router.Version(), 10)}
+	setMillis(h, HeaderDeadline, time.Until(c.deadline))
+	setMillis(h, HeaderStall, c.route.Stall)
+	if c.route.Idempotent {
+		h[HeaderFlags] = []string{flagIdempotent}
+	}
+	if c.order != nil {
+		c.order.set(h)
+	}
+}
+
+// mayRetry decides whether the request goes to another target after err.
+func (c *call) mayRetry(err error) bool {
+	re := asResult(err)
+	if c.attempts == 0 || c.attempts >= maxAttempts || c.ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	if re.Ran != resultcode.RanNo && !c.route.Idempotent {
+		return false
+	}
+	if errors.Is(err, errBudgeted) || freeRetry(re) {
+		return true
+	}
+	return c.e.cfg.Budget.Retry(c.route.Service)
+}
+
+// freeRetry reports refusals that cost the service nothing, so that they are
+// not charged to the retry budget.
+func freeRetry(re *resultcode.Error) bool {
+	switch re.Code {
+	case resultcode.TargetLeaving, resultcode.NodeLeaving, resultcode.PeerUnreachable, resultcode.NoTarget:
+		return re.Ran == resultcode.RanNo
+	}
+	return false
+}
--- /dev/null
+++ b/proxy/deliver.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"hyssopbridge/fleet"
+)
+
+// deliver passes the answer of a to the caller.
+func (c *call) deliver(a *attempt) error {
+	if c.route.Class == fleet.Download {
+		c.timer.Stop()
+	}
+	_ = http.NewResponseController(c.w).EnableFullDuplex()
+	c.result.Status = a.resp.StatusCode
+	writeAnswerHead(c.w, a.resp, c.id)
+	dog := newWatchdog(c.route.Stall, c.cancel)
+	defer dog.pause()
+	flush := a.resp.ContentLength < 0 || c.route.Class == fleet.Download
+	n, err := copyBody(c.w, a.resp.Body, dog, flush)
+	c.result.Bytes = n
+	if err != nil {
+		n, err = c.resume(a, n, err)
+		c.result.Bytes = n
+	}
+	if err != nil {
+		return abortError{c.abortCause(err)}
+	}
+	writeTrailers(c.w.Header(), a.resp.Trailer)
+	return nil
+}
+
+// abortCause prefers the reason for which the context ended.
+func (c *call) abortCause(err error) error {
+	var failed writeFailed
+	if errors.As(err, &failed) {
+		return err
+	}
+	if cause := context.Cause(c.ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func writeAnswerHead(w http.ResponseWriter, resp *http.Response, id string) {
+	h := w.Header()
+	copyHeader(h, resp.Header)
+	removeHopByHop(h)
+	removeInternal(h)
+	announceTrailers(h, resp.Trailer)
+	h[RequestIDHeader] = []string{id}
+	h[HeaderResult] = []string{answeredResult}
+	w.WriteHeader(resp.StatusCode)
+}
+
+const answeredResult = "1000 answered"
+
+// rangeState describes what part of a representation a download covers.
+type rangeState struct {
+	etag  string
+	first int64 // offset of the first byte of the answer
+	last  int64 // offset of the last byte
+	total int64 // length of the representation
+}
+
+// resumable returns the range of an answer that can be continued from another
+// target: a GET with a strong ETag and a known length.
+func resumable(r *http.Request, resp *http.Response) (rangeState, bool) {
+	s := rangeState{etag: resp.Header.Get("Etag")}
+	strong := len(s.etag) >= 2 && s.etag[0] == '"'
+	if r.Method != http.MethodGet || !strong || resp.ContentLength <= 0 {
+		return s, false
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		s.last, s.total = resp.ContentLength-1, resp.ContentLength
+		return s, true
+	case http.StatusPartialContent:
+		return s, s.parse(resp.Header.Get("Content-Range"))
+	}
+	return s, false
+}
+
+func (s *rangeState) parse(v string) bool {
+	n, err := fmt.Sscanf(v, "bytes %d-%d/%d", &s.first, &s.last, &s.total)
+	return err == nil && n == 3 && s.first <= s.last && s.last < s.total
+}
+
+// resume continues a download that broke off after n bytes from other targets.
+// It returns the bytes written in all.
+func (c *call) resume(a *attempt, n int64, err error) (int64, error) {
+	want, ok := resumable(c.r, a.resp)
+	for ok {
+		cause := c.abortCause(err)
+		if !c.mayResume(err) {
+			return n, cause
+		}
+		a.failed(cause)
+		var m int64
+		m, err = c.continueFrom(want, n)
+		n += m
+		if err == nil {
+			return n, nil
+		}
+	}
+	return n, err
+}
+
+// mayResume reports whether a failed copy may be continued elsewhere. A caller
+// that is gone, or a deadline that passed, ends the request.
+func (c *call) mayResume(err error) bool {
+	var failed writeFailed
+	if errors.As(err, &failed) || !c.route.Idempotent || c.attempts >= maxAttempts || c.r.Context().Err() != nil {
+		return false
+	}
+	cause := context.Cause(c.ctx)
+	if cause != nil && !errors.Is(cause, errStalled) {
+		return false
+	}
+	c.restartContext()
+	return c.e.cfg.Budget.Retry(c.route.Service)
+}
+
+// restartContext replaces the context that a stall has cancelled.
+func (c *call) restartContext() {
+	c.cancel(nil)
+	c.ctx, c.cancel = context.WithCancelCause(c.r.Context())
+}
+
+// continueFrom requests the rest of the range from another target and copies
+// it. The answer must be the same representation and start at the next byte.
+func (c *call) continueFrom(want rangeState, n int64) (int64, error) {
+	next := want.first + n
+	saved := c.r.Header
+	c.r.Header = saved.Clone()
+	c.r.Header.Set("Range", "bytes="+strconv.FormatInt(next, 10)+"-"+strconv.FormatInt(want.last, 10))
+	c.r.Header.Set("If-Range", want.etag)
+	a, err := c.attempt()
+	c.r.Header = saved
+	if err != nil {
+		return 0, err
+	}
+	m, err := c.copyRest(a, want, next)
+	a.end(err)
+	return m, err
+}
+
+var errOtherContent = errors.New("target has another version of the content")
+
+func (c *call) copyRest(a *attempt, want rangeState, next int64) (int64, error) {
+	got, ok := resumable(c.r, a.resp)
+	same := got.etag == want.etag && got.first == next && got.last == want.last && got.total == want.total
+	if !ok || !same || a.resp.StatusCode != http.StatusPartialContent {
+		return 0, errOtherContent
+	}
+	dog := newWatchdog(c.route.Stall, c.cancel)
+	defer dog.pause()
+	return copyBody(c.w, io.LimitReader(a.resp.Body, want.last-next+1), dog, true)
+}
--- /dev/null
+++ b/proxy/entry.go
@@ -0,0 +1,221 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/resultcode"
+	"hyssopbridge/upstream"
+)
+
+// maxAttempts bounds the targets that one request is sent to.
+const maxAttempts = 3
+
+// Route is what the proxy needs to know of a matched route.
+type Route struct {
+	Service        string
+	Name           string
+	Class          fleet.Class
+	Idempotent     bool
+	Timeout        time.Duration // to the end of the answer; for downloads to its first byte
+	Stall          time.Duration // longest gap between bytes of the answer
+	MaxBody        int64         // bytes
+	CustomerHeader string
+	Data           any // for the Gate
+}
+
+// Router matches requests to routes.
+type Router interface {
+	// Match returns the route of r, or an error with a result code.
+	Match(r *http.Request) (*Route, error)
+	// Version returns the version of the configuration in force.
+	Version() int64
+}
+
+// Choice is a target selected for one attempt.
+type Choice struct {
+	fleet.Endpoint
+	Done func() // ends the attempt; called once
+}
+
+// Balancer selects targets.
+type Balancer interface {
+	// Pick returns a target of the route's service that is not in exclude, or
+	// an error with a result code.
+	Pick(route *Route, exclude []string) (Choice, error)
+}
+
+// Gate decides whether a request may go on before a target is selected, for
+// example by the customer's rate limit.
+type Gate interface {
+	// Check returns an error with a result code that states "not run".
+	Check(r *http.Request, route *Route) error
+}
+
+// RetryBudget bounds the load that retries add.
+type RetryBudget interface {
+	// Request counts a first attempt.
+	Request(service string)
+	// Retry takes one retry from the budget; false when it is used up.
+	Retry(service string) bool
+}
+
+// Settler asks a host node to prove that a request was not run.
+type Settler interface {
+	// NotRun bars id at the node and reports whether it had never been admitted.
+	NotRun(ctx context.Context, node fleet.Node, id string) bool
+}
+
+// EntryConfig configures an Entry.
+type EntryConfig struct {
+	IDPrefix string // makes request IDs unique in the fleet
+	Router   Router
+	Balancer Balancer
+	Gate     Gate
+	Budget   RetryBudget
+	Settler  Settler
+	Orders   OrderHomes // nil: keyed orders are handled like any other request
+	Client   *upstream.Client
+	Observer Observer
+	BodyIdle time.Duration // longest gap between bytes of a caller's body
+	Leaving  func() bool   // whether this node refuses new work; may be nil
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg    EntryConfig
+	lastID atomic.Uint64
+}
+
+// NewEntry returns an Entry.
+func NewEntry(cfg EntryConfig) *Entry { return &Entry{cfg: cfg} }
+
+// call is the state of one caller's request.
+type call struct {
+	e        *Entry
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	route    *Route
+	start    time.Time
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	body     *requestBody
+	order    *orderHeaders // set for keyed orders run by their home
+	tried    []string      // instances that were tried
+	attempts int
+	// shortened is set when the caller asked for less time than the route
+	// gives. A timeout is then no evidence against the target.
+	shortened bool
+	result    Result
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{e: e, w: w, r: r, start: time.Now(), id: e.nextID()}
+	err := c.serve()
+	c.finish(err)
+}
+
+func (e *Entry) nextID() string {
+	return e.cfg.IDPrefix + strconv.FormatUint(e.lastID.Add(1), 36)
+}
+
+// finish writes a refusal if nothing was written, records the result, and
+// aborts the connection when an answer broke off.
+func (c *call) finish(err error) {
+	var aborted abortError
+	switch {
+	case err == nil:
+		c.result.Code = resultcode.Answered
+	case errors.As(err, &aborted):
+		c.result.Code = abortCode(aborted.err)
+	default:
+		c.result.Code = asResult(err).Code
+		c.result.Ran = asResult(err).Ran
+		writeError(c.w, c.id, err)
+	}
+	c.record(err)
+	if aborted.err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func abortCode(err error) resultcode.Code {
+	var failed writeFailed
+	switch {
+	case errors.As(err, &failed):
+		return resultcode.CallerGone
+	case errors.Is(err, errStalled):
+		return resultcode.Stalled
+	case errors.Is(err, context.DeadlineExceeded):
+		return resultcode.Timeout
+	case errors.Is(err, context.Canceled):
+		return resultcode.CallerGone
+	}
+	return resultcode.Truncated
+}
+
+func (c *call) serve() error {
+	if c.e.cfg.Leaving != nil && c.e.cfg.Leaving() {
+		c.w.Header().Set("Connection", "close")
+	}
+	removeInternal(c.r.Header)
+	if err := c.match(); err != nil {
+		return err
+	}
+	defer c.cancel(nil)
+	defer c.timer.Stop()
+	if err := c.e.cfg.Gate.Check(c.r, c.route); err != nil {
+		return err
+	}
+	if key := c.r.Header.Get(idempotencyKey); key != "" && !c.route.Idempotent && c.e.cfg.Orders != nil {
+		return c.serveKeyed(key)
+	}
+	var err error
+	c.body, err = readBody(c.w, c.r, replayBytes, c.route.MaxBody, c.e.cfg.BodyIdle)
+	if err != nil {
+		return err
+	}
+	return c.send()
+}
+
+// match finds the route and starts the deadline.
+func (c *call) match() error {
+	route, err := c.e.cfg.Router.Match(c.r)
+	if err != nil {
+		return err
+	}
+	c.route = route
+	timeout := route.Timeout
+	if asked := millis(c.r.Header, TimeoutHeader); asked > 0 && asked < timeout {
+		timeout, c.shortened = asked, true
+	}
+	c.deadline = c.start.Add(timeout)
+	c.ctx, c.cancel = context.WithCancelCause(c.r.Context())
+	c.timer = time.AfterFunc(timeout, func() { c.cancel(context.DeadlineExceeded) })
+	return nil
+}
+
+// send tries targets until one answers or no further attempt is allowed.
+func (c *call) send() error {
+	c.e.cfg.Budget.Request(c.route.Service)
+	for {
+		a, err := c.attempt()
+		if err == nil {
+			err = c.deliver(a)
+			a.end(err)
+			return err
+		}
+		if !c.mayRetry(err) {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/proxy/headers.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"hyssopbridge/resultcode"
+)
+
+// Headers between nodes. They are removed from callers' requests and from
+// targets' answers.
+const (
+	HeaderPrefix    = "Hb-"
+	HeaderRequestID = "Hb-Request-Id"
+	HeaderRoute     = "Hb-Route"
+	HeaderService   = "Hb-Service"
+	HeaderVersion   = "Hb-Config-Version"
+	HeaderTarget    = "Hb-Target"
+	HeaderDeadline  = "Hb-Deadline-Ms"
+	HeaderClass     = "Hb-Class"
+	HeaderFlags     = "Hb-Flags"
+	HeaderStall     = "Hb-Stall-Ms"
+	HeaderEpoch     = "Hb-Epoch"
+	HeaderLease     = "Hb-Lease-Ms"
+	HeaderKey       = "Hb-Key"
+	HeaderRole      = "Hb-Role"
+	HeaderResult    = "Hb-Result"
+	HeaderRan       = "Hb-Ran"
+)
+
+// Headers to targets and callers.
+const (
+	// RequestIDHeader names the request at the target and to the caller. A
+	// target that echoes it lets the host node detect crossed answers.
+	RequestIDHeader = "Request-Id"
+	// TimeoutHeader tells the target how many ms are left for the answer.
+	TimeoutHeader = "Request-Timeout-Ms"
+)
+
+// hopByHop headers belong to one connection and are not forwarded.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopByHop deletes hop-by-hop headers, including those that the
+// Connection header names.
+func removeHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// removeInternal deletes every Hb- header.
+func removeInternal(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, HeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// copyHeader copies src into dst.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append([]string(nil), values...)
+	}
+}
+
+// setMillis sets a header to d in whole milliseconds, at least 1.
+func setMillis(h http.Header, name string, d time.Duration) {
+	h[name] = []string{strconv.FormatInt(max(1, d.Milliseconds()), 10)}
+}
+
+// millis reads a header of whole milliseconds; 0 when absent or malformed.
+func millis(h http.Header, name string) time.Duration {
+	n, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// peerResult reads the result code that a node attached to its answer; ok is
+// false when the answer is the target's own.
+func peerResult(h http.Header) (code resultcode.Code, ok bool) {
+	number, _, _ := strings.Cut(h.Get(HeaderResult), " ")
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		return 0, false
+	}
+	return resultcode.Code(n), resultcode.Code(n) != resultcode.Answered
+}
+
+func parseRan(s string) resultcode.Ran {
+	switch s {
+	case "no":
+		return resultcode.RanNo
+	case "yes":
+		return resultcode.RanYes
+	default:
+		return resultcode.RanUnknown
+	}
+}
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -152,3 +152,11 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// NotRun returns a copy of e that states that the request was not run. Use it
+// only on proof.
+func (e *Error) NotRun() *Error {
+	c := *e
+	c.Ran = RanNo
+	return &c
+}
