--- /dev/null
+++ b/loadbalancer/set.go
@@ -0,0 +1,192 @@
+package loadbalancer
+
+import (
+	"sort"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+const (
+	coldWeightMin = 0.1 // capacity share of a target that was just announced
+	coldWeightMax = 0.5 // capacity share at the end of the slow start
+)
+
+// Set is an immutable snapshot of the targets of one service in the view of
+// one node.
+type Set struct {
+	service  string
+	floor    int
+	tiers    [numTiers]pool
+	trial    pool    // withheld targets that admit a share of idempotent requests
+	capacity float64 // sum over tiers
+	stats    Stats
+	byID     map[string]*member
+}
+
+// Stats describes a Set for operators.
+type Stats struct {
+	Announced int // targets known
+	InService int // ready and reachable from this node
+	Withheld  int // kept from normal work by the ejection list
+	Clamped   int // entries of the list that the floor kept from being applied
+	Usable    int // targets that take normal work in this node's subset
+	Trial     int // targets that take trial work
+}
+
+// member is one target with its share of the work.
+type member struct {
+	endpoint fleet.Endpoint
+	load     *Load
+	capacity float64 // slots, reduced during slow start
+}
+
+// pool is a group of members that is sampled in proportion to weight.
+type pool struct {
+	members []*member
+	sums    []float64 // running sums of the weights
+}
+
+func (p *pool) add(m *member, weight float64) {
+	p.members = append(p.members, m)
+	p.sums = append(p.sums, p.total()+weight)
+}
+
+func (p *pool) total() float64 {
+	if len(p.sums) == 0 {
+		return 0
+	}
+	return p.sums[len(p.sums)-1]
+}
+
+// at returns the member at position x of the running sums.
+func (p *pool) at(x float64) *member {
+	i := sort.SearchFloat64s(p.sums, x)
+	return p.members[min(i, len(p.members)-1)]
+}
+
+// Stats returns the counts of s.
+func (s *Set) Stats() Stats { return s.stats }
+
+// Service returns the service name.
+func (s *Set) Service() string { return s.service }
+
+// Endpoint returns a target of s by ID, whatever its state.
+func (s *Set) Endpoint(target string) (fleet.Endpoint, bool) {
+	m, ok := s.byID[target]
+	if !ok {
+		return fleet.Endpoint{}, false
+	}
+	return m.endpoint, true
+}
+
+// view is the input of a Set.
+type view struct {
+	service   string
+	floor     int
+	endpoints []fleet.Endpoint
+	list      *fleet.EjectionList
+}
+
+func (b *Balancer) build(v view, loads map[string]*tracked, now time.Duration) *Set {
+	s := &Set{service: v.service, floor: v.floor, byID: make(map[string]*member, len(v.endpoints))}
+	inService := make(map[string]bool)
+	var open []*member
+	for _, e := range v.endpoints {
+		t := loads[e.ID]
+		m := &member{endpoint: e, load: t.load, capacity: b.capacity(e, t, now)}
+		s.byID[e.ID] = m
+		if e.State != fleet.Ready && e.State != fleet.Cold {
+			continue
+		}
+		open = append(open, m)
+		if e.State == fleet.Ready && !m.load.linkFault() {
+			inService[e.ID] = true
+		}
+	}
+	out := withheld(v.list, inService, v.floor)
+	b.fill(s, open, out)
+	s.count(v, len(inService), len(open), out)
+	return s
+}
+
+// fill distributes the open members over the pools.
+func (b *Balancer) fill(s *Set, open []*member, out map[string]*fleet.Ejection) {
+	hosts := b.chooseHosts(s.service, open, out)
+	for _, m := range open {
+		if hosts != nil && !hosts[m.endpoint.Node.ID] {
+			continue
+		}
+		e := out[m.endpoint.ID]
+		switch {
+		case e == nil:
+			s.tiers[b.tier(m)].add(m, m.capacity)
+		case e.Trial > 0:
+			s.trial.add(m, m.capacity*min(e.Trial, 1))
+		}
+	}
+	for i := range s.tiers {
+		s.capacity += s.tiers[i].total()
+	}
+}
+
+func (b *Balancer) tier(m *member) tier {
+	switch {
+	case m.endpoint.Node.Zone == b.cfg.Zone:
+		return tierZone
+	case m.endpoint.Node.Region == b.cfg.Region:
+		return tierRegion
+	}
+	return tierOther
+}
+
+// chooseHosts returns the host nodes to use; nil means all.
+func (b *Balancer) chooseHosts(service string, open []*member, out map[string]*fleet.Ejection) map[string]bool {
+	if len(open) <= b.cfg.Subset {
+		return nil
+	}
+	seed := subsetSeed(b.cfg.Node, service)
+	at := make(map[string]int, len(open))
+	var hosts []hostRank
+	for _, m := range open {
+		id := m.endpoint.Node.ID
+		e := out[m.endpoint.ID]
+		if e != nil && e.Trial <= 0 {
+			continue
+		}
+		i, seen := at[id]
+		if !seen {
+			i = len(hosts)
+			at[id] = i
+			hosts = append(hosts, hostRank{id: id, tier: b.tier(m), score: score(seed, id)})
+		}
+		if e == nil && !m.load.linkFault() {
+			hosts[i].usable = true
+		}
+	}
+	return subset(hosts, b.cfg.Subset)
+}
+
+func (s *Set) count(v view, inService, open int, out map[string]*fleet.Ejection) {
+	s.stats = Stats{
+		Announced: len(v.endpoints),
+		InService: inService,
+		Trial:     len(s.trial.members),
+	}
+	for i := range s.tiers {
+		s.stats.Usable += len(s.tiers[i].members)
+	}
+	for id := range out {
+		if s.byID[id] != nil {
+			s.stats.Withheld++
+		}
+	}
+	if v.list == nil {
+		return
+	}
+	for _, e := range v.list.Entries {
+		if s.byID[e.Target] != nil && out[e.Target] == nil {
+			s.stats.Clamped++
+		}
+	}
+}
