--- /dev/null
+++ b/peer/settings.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"net"
+	"time"
+)
+
+// Bounds of the protocol.
+const (
+	MaxMessageBytes  = 1 << 20
+	PenaltyTime      = time.Second
+	MaxConnectionAge = time.Hour
+	// MaxConcurrentCalls bounds the calls in progress on one connection.
+	MaxConcurrentCalls = 64
+	// connectionBuffer is the size of each read and write buffer in bytes. The
+	// default of 32 KiB would take 64 KiB for each of some hundred connections.
+	connectionBuffer = 4 << 10
+)
+
+// Settings of the transport. Zero values take the stated defaults.
+type Settings struct {
+	CertFile string // certificate chain, PEM; empty: plain text
+	KeyFile  string // private key, PEM
+	CAFile   string // certificate authorities of the fleet, PEM
+	// AllowPlainText permits plain text with addresses that are not loopback.
+	AllowPlainText    bool
+	ReloadInterval    time.Duration // how often files are checked for changes; default 1 s
+	MessagesPerSecond int           // accepted from one sender; default 200
+	MaxConnections    int           // accepted by a server; default 4096
+	MaxCached         int           // connections kept by a client; default 512
+	IdleTimeout       time.Duration // a client closes connections unused for this long; default 30 s
+	DialTimeout       time.Duration // default 1 s
+	CallTimeout       time.Duration // for calls whose context has no deadline; default 2 s
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.ReloadInterval, time.Second)
+	setDefault(&s.MessagesPerSecond, 200)
+	setDefault(&s.MaxConnections, 4096)
+	setDefault(&s.MaxCached, 512)
+	setDefault(&s.IdleTimeout, 30*time.Second)
+	setDefault(&s.DialTimeout, time.Second)
+	setDefault(&s.CallTimeout, 2*time.Second)
+	return s
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (s Settings) useTLS() bool { return s.CertFile != "" || s.KeyFile != "" || s.CAFile != "" }
+
+// checkPlainText returns ErrPlainText when addr may not be used without TLS.
+func (s Settings) checkPlainText(addr string) error {
+	if s.useTLS() || s.AllowPlainText || isLoopback(addr) {
+		return nil
+	}
+	return &Error{Kind: ErrPlainText, Addr: addr}
+}
+
+func isLoopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// Local describes this node in the headers it sends.
+type Local struct {
+	Node        string
+	Incarnation int64 // process start, Unix ms
+	// Progress returns the configuration version and the log progress; nil
+	// sends zeros. It is called from many goroutines.
+	Progress func() Progress
+	// OnHeader receives the header of each accepted envelope; may be nil. It is
+	// called from many goroutines and must not block.
+	OnHeader func(from Identity, h Header)
+}
+
+// Progress is the configuration and log state of a node.
+type Progress struct {
+	ConfigVersion int64 // last folded log offset
+	LogOffset     int64 // last offset read from the log
+	LogAgeMS      int64 // time since that read, ms
+}
+
+func (l Local) header(method string) Header {
+	h := Header{Node: l.Node, Incarnation: l.Incarnation, Method: method}
+	if l.Progress != nil {
+		h.Progress = l.Progress()
+	}
+	return h
+}
+
+func (l Local) received(from Identity, h Header) {
+	if l.OnHeader != nil {
+		l.OnHeader(from, h)
+	}
+}
+
+// Identity is the sender of a message.
+type Identity struct {
+	Node        string
+	Incarnation int64  // Unix ms
+	Addr        string // remote IP:port of the connection
+	Verified    bool   // the certificate names the node
+}
--- /dev/null
+++ b/peer/tls.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+)
+
+// NodeURI is the prefix of a certificate URI that names a node ID.
+const NodeURI = "urn:hyssopbridge:node:"
+
+// keys holds the certificate files and reads them again when they change.
+type keys struct {
+	settings Settings
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]fileStamp
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+	failure error // of the last reload
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func newKeys(s Settings) (*keys, error) {
+	k := &keys{settings: s}
+	if err := k.load(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// current returns the newest usable certificate and authorities. While the
+// files are missing or do not match each other, the former ones stay in use.
+func (k *keys) current() (*tls.Certificate, *x509.CertPool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if time.Since(k.checked) >= k.settings.ReloadInterval {
+		k.failure = k.load()
+	}
+	return k.cert, k.pool
+}
+
+func (k *keys) load() error {
+	k.checked = time.Now()
+	var stamp [3]fileStamp
+	for i, name := range []string{k.settings.CertFile, k.settings.KeyFile, k.settings.CAFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return fmt.Errorf("certificate file: %w", err)
+		}
+		stamp[i] = fileStamp{info.ModTime(), info.Size()}
+	}
+	if stamp == k.stamp {
+		return k.failure
+	}
+	cert, err := tls.LoadX509KeyPair(k.settings.CertFile, k.settings.KeyFile)
+	if err != nil {
+		return fmt.Errorf("load certificate %s: %w", k.settings.CertFile, err)
+	}
+	pem, err := os.ReadFile(k.settings.CAFile)
+	if err != nil {
+		return fmt.Errorf("load authorities: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("authorities file %s holds no certificate", k.settings.CAFile)
+	}
+	k.cert, k.pool, k.stamp = &cert, pool, stamp
+	return nil
+}
+
+// reloadError returns the failure of the last reload, or nil.
+func (k *keys) reloadError() error {
+	if k == nil {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.failure
+}
+
+func (k *keys) serverCredentials() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := k.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*cert},
+				ClientCAs:    pool,
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				NextProtos:   []string{"h2"},
+			}, nil
+		},
+	})
+}
+
+// clientCredentials verify the chain of a server but not its host name, because
+// nodes are addressed by IP number. The node ID is checked with the response.
+func (k *keys) clientCredentials() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		VerifyConnection:   k.verifyServer,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := k.current()
+			return cert, nil
+		},
+	})
+}
+
+func (k *keys) verifyServer(cs tls.ConnectionState) error {
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("server sent no certificate")
+	}
+	_, pool := k.current()
+	opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool()}
+	for _, c := range cs.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(c)
+	}
+	_, err := cs.PeerCertificates[0].Verify(opts)
+	return err
+}
+
+// verifyNode reports whether the certificate of the connection names the node.
+// A connection without TLS is accepted as not verified.
+func verifyNode(auth credentials.AuthInfo, node string) (verified, accepted bool) {
+	info, ok := auth.(credentials.TLSInfo)
+	if !ok {
+		return false, true
+	}
+	if len(info.State.PeerCertificates) == 0 {
+		return false, false
+	}
+	named := certificateNames(info.State.PeerCertificates[0], node)
+	return named, named
+}
+
+func certificateNames(c *x509.Certificate, node string) bool {
+	if slices.Contains(c.DNSNames, node) {
+		return true
+	}
+	for _, u := range c.URIs {
+		if u.String() == NodeURI+node {
+			return true
+		}
+	}
+	return false
+}
