--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,3 @@
+// Package node assembles one node of the fleet from the other packages: the
+// listeners, the request path and the control loops.
+package node
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"hyssopbridge/loadbalancer"
 	"hyssopbridge/resultcode"
 	"hyssopbridge/upstream"
 )
@@ -14,7 +15,7 @@
 // attempt is one request to one target.
 type attempt struct {
 	c       *call
-	choice  Choice
+	picked  loadbalancer.Picked
 	resp    *http.Response
 	watch   Observation
 	started time.Time
@@ -23,14 +24,15 @@
 // attempt sends the request to a target and returns once an answer that can be
 // passed on has begun.
 func (c *call) attempt() (*attempt, error) {
-	choice, err := c.e.cfg.Balancer.Pick(c.route, c.tried)
+	ask := loadbalancer.Request{Idempotent: c.route.Idempotent, Class: c.route.Class, Exclude: c.tried}
+	picked, err := c.e.cfg.Balancer.Pick(c.e.cfg.Clock(), c.route.Service.Name, ask)
 	if err != nil {
 		return nil, err
 	}
 	c.attempts++
-	c.tried = append(c.tried, choice.ID)
-	a := &attempt{c: c, choice: choice, started: time.Now()}
-	a.watch = c.e.cfg.Observer.Start(c.route, choice.Endpoint)
+	c.tried = append(c.tried, picked.Endpoint.ID)
+	a := &attempt{c: c, picked: picked, started: time.Now()}
+	a.watch = c.e.cfg.Observer.Start(c.route, picked.Endpoint)
 	if err := a.exchange(); err != nil {
 		a.end(err)
 		return nil, err
@@ -43,13 +45,54 @@
 	if a.resp != nil {
 		a.resp.Body.Close()
 	}
-	a.watch.End(a.outcome(err), time.Since(a.started))
-	a.choice.Done()
+	a.report(a.outcome(err))
+	a.picked.Done(a.c.e.cfg.Clock(), loadbalancer.Result{Outcome: a.balancerOutcome(err), Busy: notTold, RetryAfter: a.retryAfter()})
+}
+
+// notTold is the load of a target whose host node did not report it.
+const notTold = -1
+
+// report passes the outcome to the observer once.
+func (a *attempt) report(o Outcome) {
+	if a.watch != nil {
+		a.watch.End(o, time.Since(a.started))
+		a.watch = nil
+	}
+}
+
+// retryAfter returns how long a target that sheds asks to be left alone.
+func (a *attempt) retryAfter() time.Duration {
+	if a.resp == nil {
+		return 0
+	}
+	seconds, err := strconv.Atoi(a.resp.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+func (a *attempt) balancerOutcome(err error) loadbalancer.Outcome {
+	if errors.Is(err, errPeerRefused) {
+		return loadbalancer.Refused
+	}
+	switch a.outcome(err) {
+	case OutcomeOK:
+		return loadbalancer.Succeeded
+	case OutcomeShed:
+		return loadbalancer.Shed
+	case OutcomeUnreachable:
+		return loadbalancer.LinkFault
+	case OutcomeNeutral:
+		return loadbalancer.Canceled
+	default:
+		return loadbalancer.Failed
+	}
 }
 
 func (a *attempt) exchange() error {
 	out, opt := a.outgoing()
-	resp, err := a.c.e.cfg.Client.Do(a.c.ctx, a.choice.Node.PeerAddr, out, opt)
+	resp, err := a.c.e.cfg.Client.Do(a.c.ctx, a.picked.Endpoint.Node.PeerAddr, out, opt)
 	if err != nil {
 		return a.lost(exchangeError(a.c.ctx, err, resultcode.PeerUnreachable, resultcode.PeerLost))
 	}
@@ -73,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.c.ctx), settleTimeout)
 	defer cancel()
-	if a.c.e.cfg.Settler.NotRun(ctx, a.choice.Node, a.c.id) {
+	if a.c.e.cfg.Settler.NotRun(ctx, a.picked.Endpoint.Node, a.c.id) {
 		return re.NotRun()
 	}
 	return re
@@ -100,7 +143,7 @@
 // ifRetryable returns an error with code if the retry budget allows another
 // attempt. Otherwise the target's answer is passed on.
 func (a *attempt) ifRetryable(code resultcode.Code) error {
-	if !a.c.e.cfg.Budget.Retry(a.c.route.Service) {
+	if !a.c.e.cfg.Budget.Retry(a.c.route.Service.Name) {
 		return nil
 	}
 	return &resultcode.Error{Code: code, Ran: code.Ran(), Err: errBudgeted}
@@ -143,7 +186,7 @@
 func (a *attempt) setHop(h http.Header) {
 	c := a.c
 	h[HeaderRequestID] = []string{c.id}
-	h[HeaderTarget] = []string{a.choice.ID + ";" + strconv.FormatInt(a.choice.Incarnation, 10)}
+	h[HeaderTarget] = []string{a.picked.Endpoint.ID + ";" + strconv.FormatInt(a.picked.Endpoint.Incarnation, 10)}
 	h[HeaderClass] = []string{c.route.Class.String()}
 	h[HeaderRoute] = []string{c.route.Name}
 	h[HeaderVersion] = []string{strconv.FormatInt(c.e.cfg.Router.Version(), 10)}
@@ -169,7 +212,7 @@
 	if errors.Is(err, errBudgeted) || freeRetry(re) {
 		return true
 	}
-	return c.e.cfg.Budget.Retry(c.route.Service)
+	return c.e.cfg.Budget.Retry(c.route.Service.Name)
 }
 
 // freeRetry reports refusals that cost the service nothing, so that they are
--- a/proxy/deliver.go
+++ b/proxy/deliver.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	c.restartContext()
-	return c.e.cfg.Budget.Retry(c.route.Service)
+	return c.e.cfg.Budget.Retry(c.route.Service.Name)
 }
 
 // restartContext replaces the context that a stall has cancelled.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -9,52 +9,28 @@
 	"time"
 
 	"hyssopbridge/fleet"
+	"hyssopbridge/loadbalancer"
 	"hyssopbridge/resultcode"
+	"hyssopbridge/routing"
 	"hyssopbridge/upstream"
 )
 
 // maxAttempts bounds the targets that one request is sent to.
 const maxAttempts = 3
 
-// Route is what the proxy needs to know of a matched route.
-type Route struct {
-	Service        string
-	Name           string
-	Class          fleet.Class
-	Idempotent     bool
-	Timeout        time.Duration // to the end of the answer; for downloads to its first byte
-	Stall          time.Duration // longest gap between bytes of the answer
-	MaxBody        int64         // bytes
-	CustomerHeader string
-	Data           any // for the Gate
-}
-
 // Router matches requests to routes.
 type Router interface {
 	// Match returns the route of r, or an error with a result code.
-	Match(r *http.Request) (*Route, error)
+	Match(r *http.Request) (*routing.Route, error)
 	// Version returns the version of the configuration in force.
 	Version() int64
 }
 
-// Choice is a target selected for one attempt.
-type Choice struct {
-	fleet.Endpoint
-	Done func() // ends the attempt; called once
-}
-
-// Balancer selects targets.
-type Balancer interface {
-	// Pick returns a target of the route's service that is not in exclude, or
-	// an error with a result code.
-	Pick(route *Route, exclude []string) (Choice, error)
-}
-
 // Gate decides whether a request may go on before a target is selected, for
 // example by the customer's rate limit.
 type Gate interface {
 	// Check returns an error with a result code that states "not run".
-	Check(r *http.Request, route *Route) error
+	Check(r *http.Request, route *routing.Route) error
 }
 
 // RetryBudget bounds the load that retries add.
@@ -75,7 +51,8 @@
 type EntryConfig struct {
 	IDPrefix string // makes request IDs unique in the fleet
 	Router   Router
-	Balancer Balancer
+	Balancer *loadbalancer.Balancer
+	Clock    func() time.Duration // monotonic time
 	Gate     Gate
 	Budget   RetryBudget
 	Settler  Settler
@@ -101,7 +78,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	id       string
-	route    *Route
+	route    *routing.Route
 	start    time.Time
 	deadline time.Time
 	ctx      context.Context
@@ -206,7 +183,7 @@
 
 // send tries targets until one answers or no further attempt is allowed.
 func (c *call) send() error {
-	c.e.cfg.Budget.Request(c.route.Service)
+	c.e.cfg.Budget.Request(c.route.Service.Name)
 	for {
 		a, err := c.attempt()
 		if err == nil {
--- a/proxy/observe.go
+++ b/proxy/observe.go
@@ -6,6 +6,7 @@
 
 	"hyssopbridge/fleet"
 	"hyssopbridge/resultcode"
+	"hyssopbridge/routing"
 )
 
 // Outcome is how an attempt at a target ended, as evidence of its health.
@@ -31,7 +32,7 @@
 // Observer receives what the proxy sees of targets and requests.
 type Observer interface {
 	// Start is called when a request is sent to a target.
-	Start(route *Route, ep fleet.Endpoint) Observation
+	Start(route *routing.Route, ep *fleet.Endpoint) Observation
 	// Finished is called when a caller's request has ended.
 	Finished(r *Result)
 }
@@ -58,7 +59,7 @@
 	r := &c.result
 	r.ID, r.Attempts, r.Took, r.Err = c.id, c.attempts, time.Since(c.start), err
 	if c.route != nil {
-		r.Service, r.Route, r.Class = c.route.Service, c.route.Name, c.route.Class
+		r.Service, r.Route, r.Class = c.route.Service.Name, c.route.Name, c.route.Class
 		r.Customer = c.r.Header.Get(c.route.CustomerHeader)
 	}
 	if len(c.tried) > 0 {
@@ -71,15 +72,9 @@
 // target.
 func (a *attempt) failed(err error) {
 	a.resp.Body.Close()
-	a.watch.End(a.outcome(err), time.Since(a.started))
-	a.watch = ended{}
+	a.report(a.outcome(err))
 }
 
-// ended ignores a second report.
-type ended struct{}
-
-func (ended) End(Outcome, time.Duration) {}
-
 // outcome classifies how the attempt ended.
 func (a *attempt) outcome(err error) Outcome {
 	var aborted abortError
