--- a/proxy/deliver.go
+++ b/proxy/deliver.go
@@ -56,6 +56,15 @@
 	h[RequestIDHeader] = []string{id}
 	h[HeaderResult] = []string{answeredResult}
 	w.WriteHeader(resp.StatusCode)
+	flushStream(w, resp)
+}
+
+// flushStream sends the header section of an answer of unknown length at once,
+// since its first byte may depend on what the caller sends next.
+func flushStream(w http.ResponseWriter, resp *http.Response) {
+	if f, ok := w.(http.Flusher); ok && resp.ContentLength < 0 {
+		f.Flush()
+	}
 }
 
 const answeredResult = "1000 answered"
--- a/proxy/host.go
+++ b/proxy/host.go
@@ -278,6 +278,7 @@
 		h["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
 	}
 	w.WriteHeader(resp.StatusCode)
+	flushStream(w, resp)
 }
 
 func announceTrailers(h, trailer http.Header) {
@@ -294,6 +295,8 @@
 		return resultcode.New(notSent, "%w", err).NotRun()
 	}
 	switch cause := context.Cause(ctx); {
+	case errors.Is(err, errBodyIdle):
+		return resultcode.New(resultcode.BodyStalled, "%w", err)
 	case errors.Is(cause, context.DeadlineExceeded):
 		return resultcode.New(resultcode.Timeout, "%w", err)
 	case errors.Is(cause, errStalled):
