Add limits and filters

The request path needs bounds on slots, queues, retries, customers' rates and connections, and checks of what callers send. limits holds the bounds as code without I/O of its own apart from the listener wrapper; filters holds the checks as a chain built from named specs.

--- /dev/null
+++ b/filters/classshed.go
@@ -0,0 +1,41 @@
+package filters
+
+import (
+	"encoding/json"
+
+	"hyssopbridge/limits"
+)
+
+// ClassShedSpec makes the class-shed filter. It bounds the requests in flight
+// at this node, background work first.
+type ClassShedSpec struct {
+	Gate *limits.ClassGate // nil switches the filter off
+}
+
+// Name implements Spec.
+func (ClassShedSpec) Name() string { return "class-shed" }
+
+// New implements Spec; there are no arguments.
+func (s ClassShedSpec) New(args json.RawMessage) (Filter, error) {
+	return classShedFilter{s.Gate}, decodeArgs(args, &struct{}{})
+}
+
+type classShedFilter struct{ gate *limits.ClassGate }
+
+// Request implements Filter.
+func (f classShedFilter) Request(c *Context) error {
+	if f.gate == nil {
+		return nil
+	}
+	return f.gate.Enter(c.Route.Class)
+}
+
+// Response implements Filter.
+func (classShedFilter) Response(*Context) {}
+
+// Done implements Finisher.
+func (f classShedFilter) Done(*Context) {
+	if f.gate != nil {
+		f.gate.Leave()
+	}
+}
--- /dev/null
+++ b/filters/idempotency.go
@@ -0,0 +1,112 @@
+package filters
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"hash"
+	"io"
+)
+
+// KeyHeader is the field that carries the caller's idempotency key.
+const KeyHeader = "Idempotency-Key"
+
+// MaxKeyBytes bounds the length of an idempotency key.
+const MaxKeyBytes = 128
+
+// IdempotencySpec makes the idempotency filter. On routes that are not
+// idempotent it takes the key from the request; on others it ignores it.
+type IdempotencySpec struct{}
+
+// Name implements Spec.
+func (IdempotencySpec) Name() string { return "idempotency" }
+
+// New implements Spec; there are no arguments.
+func (IdempotencySpec) New(args json.RawMessage) (Filter, error) {
+	return idempotencyFilter{}, decodeArgs(args, &struct{}{})
+}
+
+type idempotencyFilter struct{}
+
+// Request implements Filter.
+func (idempotencyFilter) Request(c *Context) error {
+	if c.Route.Idempotent {
+		return nil
+	}
+	values := c.Request.Header[KeyHeader]
+	if len(values) == 0 {
+		return nil
+	}
+	key, ok := ParseKey(values[0])
+	if !ok || len(values) > 1 {
+		return bad("invalid %s", KeyHeader)
+	}
+	c.Key = key
+	return nil
+}
+
+// Response implements Filter.
+func (idempotencyFilter) Response(*Context) {}
+
+// ParseKey checks an idempotency key: 1 to 128 letters, digits and -._~:, also
+// within double quotes, which are removed.
+func ParseKey(v string) (string, bool) {
+	if len(v) >= 2 && v[0] == '"' && v[len(v)-1] == '"' {
+		v = v[1 : len(v)-1]
+	}
+	if v == "" || len(v) > MaxKeyBytes {
+		return "", false
+	}
+	for i := 0; i < len(v); i++ {
+		if !keyByte(v[i]) {
+			return "", false
+		}
+	}
+	return v, true
+}
+
+func keyByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return c == '-' || c == '.' || c == '_' || c == '~' || c == ':'
+}
+
+// PayloadHash identifies the content of a request.
+type PayloadHash [16]byte
+
+// PayloadHasher computes a PayloadHash while the body is read.
+type PayloadHasher struct{ sum hash.Hash }
+
+// NewPayloadHasher starts a hash with the parts of a request that belong to
+// its content besides the body. Each part is preceded by its length, so that
+// parts cannot be shifted into one another.
+func NewPayloadHasher(method, target, contentType string) *PayloadHasher {
+	p := &PayloadHasher{sum: sha256.New()}
+	for _, part := range [...]string{method, target, contentType} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		_, _ = p.sum.Write(n[:])
+		_, _ = io.WriteString(p.sum, part)
+	}
+	return p
+}
+
+// Write adds body bytes. It never fails.
+func (p *PayloadHasher) Write(b []byte) (int, error) { return p.sum.Write(b) }
+
+// Sum returns the hash of what was written.
+func (p *PayloadHasher) Sum() PayloadHash {
+	var full [sha256.Size]byte
+	var out PayloadHash
+	copy(out[:], p.sum.Sum(full[:0]))
+	return out
+}
+
+// HashPayload returns the hash of a request whose body is in memory.
+func HashPayload(method, target, contentType string, body []byte) PayloadHash {
+	p := NewPayloadHasher(method, target, contentType)
+	_, _ = p.Write(body)
+	return p.Sum()
+}
--- /dev/null
+++ b/filters/ratelimit.go
@@ -0,0 +1,51 @@
+package filters
+
+import (
+	"encoding/json"
+	"time"
+
+	"hyssopbridge/limits"
+	"hyssopbridge/resultcode"
+)
+
+var errRateLimited = resultcode.New(resultcode.RateLimited, "the customer is over the rate of the route")
+
+// RateLimitSpec makes the rate-limit filter. Callers that name no customer are
+// counted by their address.
+type RateLimitSpec struct {
+	Rates *limits.RateLimiter  // nil switches the filter off
+	Clock func() time.Duration // nil uses Context.Now
+}
+
+// Name implements Spec.
+func (RateLimitSpec) Name() string { return "rate-limit" }
+
+// New implements Spec; there are no arguments.
+func (s RateLimitSpec) New(args json.RawMessage) (Filter, error) {
+	return rateLimitFilter{s}, decodeArgs(args, &struct{}{})
+}
+
+type rateLimitFilter struct{ spec RateLimitSpec }
+
+// Request implements Filter.
+func (f rateLimitFilter) Request(c *Context) error {
+	if c.Route.Rate == nil || f.spec.Rates == nil {
+		return nil
+	}
+	now := c.Now
+	if f.spec.Clock != nil {
+		now = f.spec.Clock()
+	}
+	who := c.Customer
+	if who == "" {
+		who = c.RemoteIP
+	}
+	r := limits.Rate{PerSecond: c.Route.Rate.PerSecond, Burst: float64(max(1, c.Route.Rate.Burst))}
+	if !f.spec.Rates.Allow(now, limits.NewRateKey(c.Route.ID, who), r) {
+		return errRateLimited
+	}
+	return nil
+}
+
+// Response implements Filter.
+func (rateLimitFilter) Response(*Context) {}
--- /dev/null
+++ b/filters/registry.go
@@ -0,0 +1,96 @@
+package filters
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"hyssopbridge/limits"
+)
+
+// Use names a filter of a chain and its arguments.
+type Use struct {
+	Name string          `json:"name"`
+	Args json.RawMessage `json:"args,omitempty"` // default: the filter's defaults
+}
+
+// Registry holds Specs by name.
+type Registry struct {
+	specs map[string]Spec
+}
+
+// UnknownFilterError reports a name without a Spec.
+type UnknownFilterError struct {
+	Name  string
+	Known []string
+}
+
+// Error implements error.
+func (e *UnknownFilterError) Error() string {
+	return fmt.Sprintf("unknown filter %q, want one of %v", e.Name, e.Known)
+}
+
+// Resources are the parts of a node that the built-in filters use.
+type Resources struct {
+	Rates *limits.RateLimiter  // nil switches the rate limit off
+	Gate  *limits.ClassGate    // nil switches class shedding off
+	Clock func() time.Duration // the node's monotonic clock; nil uses Context.Now
+}
+
+// NewRegistry returns a registry with the built-in filters.
+func NewRegistry(res Resources) *Registry {
+	r := &Registry{specs: make(map[string]Spec)}
+	for _, s := range []Spec{
+		HeaderSpec{}, RequestIDSpec{}, CustomerSpec{}, DeadlineSpec{},
+		RateLimitSpec{Rates: res.Rates, Clock: res.Clock}, ClassShedSpec{Gate: res.Gate}, IdempotencySpec{},
+	} {
+		r.Register(s)
+	}
+	return r
+}
+
+// Register adds a Spec; it replaces one of the same name.
+func (r *Registry) Register(s Spec) { r.specs[s.Name()] = s }
+
+// Names returns the registered names in order.
+func (r *Registry) Names() []string {
+	var names []string
+	for name := range r.specs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Chain builds a chain. The error names the filter that could not be made.
+func (r *Registry) Chain(uses []Use) (*Chain, error) {
+	filters := make([]Filter, 0, len(uses))
+	for _, u := range uses {
+		s, ok := r.specs[u.Name]
+		if !ok {
+			return nil, &UnknownFilterError{u.Name, r.Names()}
+		}
+		f, err := s.New(u.Args)
+		if err != nil {
+			return nil, fmt.Errorf("filter %s: %w", u.Name, err)
+		}
+		filters = append(filters, f)
+	}
+	return NewChain(filters...), nil
+}
+
+// BeforeRouting returns the default filters that run before routing.
+func BeforeRouting() []Use {
+	return []Use{{Name: HeaderSpec{}.Name()}, {Name: RequestIDSpec{}.Name()}}
+}
+
+// AfterRouting returns the default filters that run after routing. The rate
+// limit follows class shedding, so that a request that the node sheds does not
+// count against its customer.
+func AfterRouting() []Use {
+	return []Use{
+		{Name: CustomerSpec{}.Name()}, {Name: DeadlineSpec{}.Name()}, {Name: IdempotencySpec{}.Name()},
+		{Name: ClassShedSpec{}.Name()}, {Name: RateLimitSpec{}.Name()},
+	}
+}
--- /dev/null
+++ b/limits/budget.go
@@ -0,0 +1,84 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	retryShare   = 0.1              // retries as a part of requests
+	retryWindow  = 10 * time.Second // over which the share holds
+	retryBuckets = 10
+	retryBucket  = retryWindow / retryBuckets
+)
+
+// RetryBudget bounds the retries of one service at one entry node to a tenth
+// of its requests over 10 s. The fractional part of the allowance is rounded
+// at random, anew in each window, instead of up: with a guaranteed minimum per
+// node, the fleet's retries would grow with the number of nodes.
+type RetryBudget struct {
+	mu       sync.Mutex
+	rand     *rand.Rand
+	round    float64 // rounding of the allowance, in [0, 1)
+	current  int64   // number of the newest bucket
+	requests [retryBuckets]int
+	retries  [retryBuckets]int
+	sumReq   int
+	sumRetry int
+}
+
+// NewRetryBudget returns an empty budget. Nodes need different seeds.
+func NewRetryBudget(seed uint64) *RetryBudget {
+	r := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
+	return &RetryBudget{rand: r, round: r.Float64()}
+}
+
+// Request counts a request of a caller. Retries are not requests.
+func (b *RetryBudget) Request(now time.Duration) {
+	b.mu.Lock()
+	b.advance(now)
+	b.requests[b.current%retryBuckets]++
+	b.sumReq++
+	b.mu.Unlock()
+}
+
+// Allow reports whether a retry may be made, and counts it if so.
+func (b *RetryBudget) Allow(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if float64(b.sumRetry+1) > retryShare*float64(b.sumReq)+b.round {
+		return false
+	}
+	b.retries[b.current%retryBuckets]++
+	b.sumRetry++
+	return true
+}
+
+// Used returns the requests and retries of the window.
+func (b *RetryBudget) Used(now time.Duration) (requests, retries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.sumReq, b.sumRetry
+}
+
+// advance drops the buckets that have left the window.
+func (b *RetryBudget) advance(now time.Duration) {
+	n := int64(now / retryBucket)
+	steps := min(n-b.current, retryBuckets)
+	for i := int64(1); i <= steps; i++ {
+		k := (b.current + i) % retryBuckets
+		b.sumReq -= b.requests[k]
+		b.sumRetry -= b.retries[k]
+		b.requests[k], b.retries[k] = 0, 0
+	}
+	if n <= b.current {
+		return
+	}
+	if n/retryBuckets != b.current/retryBuckets {
+		b.round = b.rand.Float64()
+	}
+	b.current = n
+}
--- /dev/null
+++ b/limits/listener.go
@@ -0,0 +1,97 @@
+package limits
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener bounds the open connections of a net.Listener, overall and per
+// remote IP. Connections over a bound are closed at once, so that one caller
+// cannot keep others from being accepted.
+type Listener struct {
+	net.Listener
+	total   int
+	perIP   int
+	mu      sync.Mutex
+	open    int
+	byIP    map[netip.Addr]int
+	refused atomic.Int64
+}
+
+// NewListener wraps ln. total and perIP are the bounds; 0 means no bound.
+func NewListener(ln net.Listener, total, perIP int) *Listener {
+	return &Listener{Listener: ln, total: total, perIP: perIP, byIP: make(map[netip.Addr]int)}
+}
+
+// Accept returns the next connection within the bounds.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		ip := remoteIP(conn)
+		if l.enter(ip) {
+			return &boundConn{Conn: conn, listener: l, ip: ip}, nil
+		}
+		l.refused.Add(1)
+		_ = conn.Close()
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// Refused returns the number of connections closed because of a bound.
+func (l *Listener) Refused() int64 { return l.refused.Load() }
+
+func remoteIP(conn net.Conn) netip.Addr {
+	addr, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	return addr.AddrPort().Addr().Unmap()
+}
+
+func (l *Listener) enter(ip netip.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.total > 0 && l.open >= l.total {
+		return false
+	}
+	if l.perIP > 0 && l.byIP[ip] >= l.perIP {
+		return false
+	}
+	l.open++
+	l.byIP[ip]++
+	return true
+}
+
+func (l *Listener) leave(ip netip.Addr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	if l.byIP[ip]--; l.byIP[ip] == 0 {
+		delete(l.byIP, ip)
+	}
+}
+
+// boundConn gives its place back when it is closed.
+type boundConn struct {
+	net.Conn
+	listener *Listener
+	ip       netip.Addr
+	once     sync.Once
+}
+
+// Close closes the connection.
+func (c *boundConn) Close() error {
+	c.once.Do(func() { c.listener.leave(c.ip) })
+	return c.Conn.Close()
+}
