--- a/peer/client.go
+++ b/peer/client.go
@@ -178,7 +178,6 @@
 		),
 		grpc.WithReadBufferSize(connectionBuffer),
 		grpc.WithWriteBufferSize(connectionBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 	)
--- a/peer/server.go
+++ b/peer/server.go
@@ -69,7 +69,6 @@
 		grpc.ConnectionTimeout(s.DialTimeout),
 		grpc.ReadBufferSize(connectionBuffer),
 		grpc.WriteBufferSize(connectionBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.MaxHeaderListSize(8<<10),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			MaxConnectionAge:      MaxConnectionAge,
