--- /dev/null
+++ b/lease/activate.go
@@ -0,0 +1,80 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+// updateActive checks whether the current epoch has become active.
+func (c *Core) updateActive(now time.Duration, wallMS int64, s *service) {
+	if s.current.Epoch == 0 || s.activeEpoch >= s.current.Epoch {
+		return
+	}
+	at, ok := c.activeAt(s)
+	if ok && now >= at {
+		s.setActive(s.current.Epoch, wallMS)
+	}
+}
+
+func (s *service) setActive(epoch, wallMS int64) {
+	if epoch > s.activeEpoch {
+		s.activeEpoch = epoch
+		s.activeWall = wallMS
+	}
+}
+
+// activeAt returns the time from which no member of the base epoch can hold a
+// lease. ok is false while that is not known.
+func (c *Core) activeAt(s *service) (at time.Duration, ok bool) {
+	if s.current.Base == 0 {
+		return s.learned, true
+	}
+	if s.current.Forced {
+		return s.learned + Term + DriftMargin, true
+	}
+	if !s.hasBase || len(s.base.Members) == 0 {
+		return 0, false
+	}
+	times := c.ackTimes(s)
+	need := majority(len(s.base.Members))
+	if len(times) < need {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[need-1] + Term + DriftMargin, true
+}
+
+func (c *Core) ackTimes(s *service) []time.Duration {
+	times := make([]time.Duration, 0, MaxMembers)
+	for _, m := range s.base.Members {
+		if m.Node == c.self.Node && m.Incarnation <= c.self.Incarnation {
+			times = append(times, s.learned)
+			continue
+		}
+		if t, ok := s.acks[m.Node]; ok {
+			times = append(times, t)
+		}
+	}
+	return times
+}
+
+// noteAck records that a member of the base epoch will not confirm it again:
+// it acknowledged the current epoch, or its process has ended and a later one
+// answers. A message of an earlier process proves neither.
+func (s *service) noteAck(now time.Duration, from fleet.Member, epoch int64) {
+	i := memberIndex(s.base.Members, from.Node)
+	if i < 0 {
+		return
+	}
+	m := s.base.Members[i]
+	acked := from.Incarnation == m.Incarnation && epoch >= s.current.Epoch
+	restarted := from.Incarnation > m.Incarnation
+	if !acked && !restarted {
+		return
+	}
+	if _, known := s.acks[m.Node]; !known {
+		s.acks[m.Node] = now
+	}
+}
