Add once: records of keyed orders and admission table

A resend of a keyed order has to find the outcome of the first attempt, also when its home was replaced. The admission table settles lost responses at the host node.

--- /dev/null
+++ b/once/admission.go
@@ -0,0 +1,138 @@
+package once
+
+import (
+	"time"
+
+	"hyssopbridge/resultcode"
+)
+
+// AdmissionConfig bounds an Admissions table. Zero fields take their defaults.
+type AdmissionConfig struct {
+	Window     time.Duration // how long an ID is kept; default 10 min
+	MaxEntries int           // default 200000
+}
+
+// Defaults of AdmissionConfig.
+const (
+	DefaultAdmissionWindow  = 10 * time.Minute
+	DefaultAdmissionEntries = 200_000
+)
+
+// Admissions is the host node's table of request IDs of orders. A request ID
+// is a UUIDv7 and names one attempt: a sender that repeats an order after proof
+// that it was not run uses a new ID.
+//
+// The table is empty after a restart and forgets IDs after the window. For IDs
+// that it may have forgotten it admits nothing and settles nothing.
+type Admissions struct {
+	cfg     AdmissionConfig
+	startMS int64
+	ids     map[string]bool // true if admitted, false if barred
+	buckets map[int64][]string
+	swept   int64
+}
+
+// admissionBucket is the granularity of expiry.
+const admissionBucket = 30 * time.Second
+
+// NewAdmissions returns the table of a process that started at startMS, Unix ms.
+func NewAdmissions(cfg AdmissionConfig, startMS int64) *Admissions {
+	if cfg.Window == 0 {
+		cfg.Window = DefaultAdmissionWindow
+	}
+	if cfg.MaxEntries == 0 {
+		cfg.MaxEntries = DefaultAdmissionEntries
+	}
+	return &Admissions{cfg: cfg, startMS: startMS, ids: map[string]bool{}, buckets: map[int64][]string{}}
+}
+
+// Admit registers an attempt before it is queued for a target. It returns nil
+// or the error to answer with. Only UnknownOutcome, for a repeated delivery of
+// an admitted ID, is not proof that this ID was not run.
+func (a *Admissions) Admit(now time.Duration, wallMS int64, id string) *resultcode.Error {
+	issued, ok := IssuedMS(id)
+	if !ok || issued > wallMS+FutureMS {
+		return resultcode.New(resultcode.BadRequest, "request ID %q is not a current UUIDv7", id)
+	}
+	if !a.remembers(wallMS, issued) {
+		return resultcode.New(resultcode.Barred, "request ID %s is older than the admission window", id)
+	}
+	admitted, known := a.ids[id]
+	switch {
+	case known && admitted:
+		return resultcode.New(resultcode.UnknownOutcome, "request ID %s was admitted before", id)
+	case known:
+		return resultcode.New(resultcode.Barred, "request ID %s is barred", id)
+	case !a.insert(now, id, true):
+		return resultcode.New(resultcode.QueueFull, "admission table is full")
+	}
+	return nil
+}
+
+// Withdraw states that an admitted attempt was refused before anything was
+// sent to a target, and will not be sent.
+func (a *Admissions) Withdraw(id string) {
+	if _, ok := a.ids[id]; ok {
+		a.ids[id] = false
+	}
+}
+
+// Settle reports whether an attempt is proven not to have run, and bars it in
+// that case. false means that the outcome is unknown.
+func (a *Admissions) Settle(now time.Duration, wallMS int64, id string) (notRun bool) {
+	issued, ok := IssuedMS(id)
+	if !ok || issued > wallMS+FutureMS || !a.remembers(wallMS, issued) {
+		return false
+	}
+	if admitted, known := a.ids[id]; known {
+		return !admitted
+	}
+	return a.insert(now, id, false)
+}
+
+// remembers reports whether the table would still hold an ID of the given
+// issue time: it was issued after this process started and in the window. An
+// ID is registered at most FutureMS before its issue time, on this host's clock.
+func (a *Admissions) remembers(wallMS, issued int64) bool {
+	return issued > a.startMS+FutureMS && issued >= wallMS-a.cfg.Window.Milliseconds()+FutureMS
+}
+
+func (a *Admissions) insert(now time.Duration, id string, admitted bool) bool {
+	a.sweep(now)
+	if len(a.ids) >= a.cfg.MaxEntries {
+		return false
+	}
+	a.ids[id] = admitted
+	b := int64(now / admissionBucket)
+	if len(a.buckets) == 0 {
+		a.swept = b
+	}
+	a.buckets[b] = append(a.buckets[b], id)
+	return true
+}
+
+// sweep drops buckets that have left the window by at least one bucket.
+func (a *Admissions) sweep(now time.Duration) {
+	end := int64((now-a.cfg.Window)/admissionBucket) - 1
+	for ; a.swept < end && len(a.buckets) > 0; a.swept++ {
+		for _, id := range a.buckets[a.swept] {
+			delete(a.ids, id)
+		}
+		delete(a.buckets, a.swept)
+	}
+}
+
+// LeaseLeft returns how much of the lease deadline sent with an order is left
+// when the host node starts it. remaining was measured by the home just before
+// it sent the attempt and issued its ID, so time in transit counts as far as
+// the clocks of the two nodes permit. ok is false if nothing is left: the order
+// is refused with resultcode.NoLease.
+func LeaseLeft(wallMS int64, id string, remaining time.Duration) (left time.Duration, ok bool) {
+	issued, valid := IssuedMS(id)
+	if !valid {
+		return 0, false
+	}
+	transit := time.Duration(wallMS-issued-NodeSkewMS) * time.Millisecond
+	left = remaining - max(0, transit)
+	return left, left > 0
+}
--- /dev/null
+++ b/once/handover.go
@@ -0,0 +1,80 @@
+package once
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/lease"
+)
+
+// Batch carries records to their home in a later epoch.
+type Batch struct {
+	Service string       `cbor:"1,keyasint"`
+	From    fleet.Member `cbor:"2,keyasint"`
+	To      fleet.Member `cbor:"3,keyasint"`
+	Epoch   int64        `cbor:"4,keyasint"` // epoch in which To is the home
+	Series  int64        `cbor:"5,keyasint"` // identifies one Export; only its batches form a whole
+	Index   int          `cbor:"6,keyasint"`
+	Records []Moved      `cbor:"7,keyasint,omitempty"`
+	Last    bool         `cbor:"8,keyasint,omitempty"`
+	Edges   []Edge       `cbor:"9,keyasint,omitempty"` // with Last
+}
+
+// Moved is a record with its scoped key.
+type Moved struct {
+	Key   string `cbor:"1,keyasint"`
+	Entry Entry  `cbor:"2,keyasint"`
+}
+
+// Export returns the hand-over of a service to one member of a later group, in
+// batches of at most maxRecords records and about maxBytes bytes. ok is false
+// before Close for that group's epoch, and while an order of the service is
+// running; the caller then tries again.
+func (s *Store) Export(now time.Duration, name string, group lease.Group, to fleet.Member, maxRecords, maxBytes int) (batches []Batch, ok bool) {
+	v := s.service(name)
+	if v.closed < group.Epoch || v.epoch() >= group.Epoch {
+		return nil, false
+	}
+	keys, ok := s.movedKeys(name, group, to)
+	if !ok {
+		return nil, false
+	}
+	b := Batch{Service: name, From: s.self, To: to, Epoch: group.Epoch, Series: int64(now)}
+	size := 0
+	for _, key := range keys {
+		r := s.records[key]
+		n := recordBytes + len(key) + r.answer.size()
+		if len(b.Records) > 0 && (len(b.Records) >= maxRecords || size+n > maxBytes) {
+			batches = append(batches, b)
+			b.Index++
+			b.Records = nil
+			size = 0
+		}
+		b.Records = append(b.Records, Moved{Key: key, Entry: s.entry(now, r)})
+		size += n
+	}
+	b.Last = true
+	b.Edges = slices.Clone(v.edges)
+	return append(batches, b), true
+}
+
+// movedKeys returns the keys of records that forbid a run and whose home in
+// group is to. A key that was not run needs no record at the next home.
+func (s *Store) movedKeys(name string, group lease.Group, to fleet.Member) (keys []string, ok bool) {
+	prefix := scopePrefix(name)
+	for key, r := range s.records {
+		if !r.state.terminal() || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if r.state == Running {
+			return nil, false
+		}
+		if home, found := lease.HomeIn(group.HomeGroup, key); found && home == to {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys, true
+}
--- /dev/null
+++ b/once/record.go
@@ -0,0 +1,71 @@
+package once
+
+import (
+	"net/http"
+	"time"
+)
+
+// State is what a home knows about a key.
+type State uint8
+
+// States of a record.
+const (
+	None     State = iota // no record: never run by this home
+	Running               // sent, or about to be sent, to a host node
+	Answered              // ran; the answer is known
+	NotRun                // the last attempt is proven not to have run
+	Unknown               // may have run
+	Barred                // not run by this home, and a later home was told so
+)
+
+// String returns the name used in reports.
+func (s State) String() string {
+	return [...]string{"none", "running", "answered", "not-run", "unknown", "barred"}[s]
+}
+
+// terminal reports whether the state forbids every further run, in any epoch.
+func (s State) terminal() bool { return s == Answered || s == Running || s == Unknown }
+
+// PayloadHash identifies the payload of an order. It must be a cryptographic
+// hash of method, path and body, so that equal hashes mean equal payloads.
+type PayloadHash [32]byte
+
+// Answer is a stored response.
+type Answer struct {
+	Status int         `cbor:"1,keyasint"`
+	Header http.Header `cbor:"2,keyasint,omitempty"`
+	Body   []byte      `cbor:"3,keyasint,omitempty"`
+}
+
+func (a *Answer) size() int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// record is the state of one key.
+type record struct {
+	hash    PayloadHash
+	started time.Duration // begin of the last attempt; the window counts from here
+	answer  *Answer       // nil unless Answered and kept
+	epoch   int64         // epoch of the last attempt
+	barred  int64         // runs in earlier epochs are forbidden; 0 if not barred
+	attempt uint32
+	state   State
+}
+
+// Entry is a record in a lookup reply or hand-over batch.
+type Entry struct {
+	State  State         `cbor:"1,keyasint"`
+	Hash   PayloadHash   `cbor:"2,keyasint"`
+	Answer *Answer       `cbor:"3,keyasint,omitempty"` // nil if not kept
+	Age    time.Duration `cbor:"4,keyasint"`           // since the last attempt began
+}
