--- /dev/null
+++ b/control/document.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/tailscale/hujson"
+
+	"hyssopbridge/config/manifest"
+)
+
+// EncodeDocument returns the record form of a manifest in JSON with comments:
+// JSON without comments and white space, compressed with DEFLATE. The log, the
+// nodes' memory and the transfers between nodes hold this form.
+func EncodeDocument(source []byte) ([]byte, error) {
+	min, err := hujson.Minimize(bytes.Clone(source))
+	if err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	if len(min) > MaxDocumentBytes {
+		return nil, fmt.Errorf("encode document: %d bytes exceed %d", len(min), MaxDocumentBytes)
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestCompression)
+	if err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	if _, err := w.Write(min); err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// DocumentSource returns the JSON text of an encoded document.
+func DocumentSource(document []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(document))
+	text, err := io.ReadAll(io.LimitReader(r, MaxDocumentBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: document: %w", ErrBadRecord, err)
+	}
+	if len(text) > MaxDocumentBytes {
+		return nil, fmt.Errorf("%w: document exceeds %d bytes", ErrBadRecord, MaxDocumentBytes)
+	}
+	return text, nil
+}
+
+// decodeManifest reads an encoded document as the fold does: it ignores
+// unknown keys and checks only what the fold relies on.
+func decodeManifest(document []byte) (*manifest.Manifest, error) {
+	text, err := DocumentSource(document)
+	if err != nil {
+		return nil, err
+	}
+	var m manifest.Manifest
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, fmt.Errorf("%w: document: %w", ErrBadRecord, err)
+	}
+	if err := checkServices(&m); err != nil {
+		return nil, err
+	}
+	m.SetDefaults()
+	return &m, nil
+}
+
+func checkServices(m *manifest.Manifest) error {
+	seen := make(map[string]bool, len(m.Services))
+	for i := range m.Services {
+		name := m.Services[i].Name
+		if err := checkName("service", name); err != nil {
+			return err
+		}
+		if seen[name] {
+			return fmt.Errorf("%w: service %q appears twice", ErrBadRecord, name)
+		}
+		seen[name] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/control/foldhomes.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+
+	"hyssopbridge/fleet"
+)
+
+// foldHomes folds the proposals of one record. Each group is judged by itself;
+// the record is accepted if at least one group is.
+func (s *State) foldHomes(r *Record, out *Outcome) {
+	out.Kind = Conflict
+	for i := range r.Groups {
+		g := s.foldGroup(r, &r.Groups[i])
+		out.Groups = append(out.Groups, g)
+		if g.Kind == Accepted {
+			out.Kind, out.Revision = Accepted, g.Epoch
+		}
+	}
+	if out.Kind != Accepted {
+		first := out.Groups[0]
+		out.Kind, out.Winner = first.Kind, first.Winner
+	}
+	if out.Kind == Invalid {
+		out.Err = fmt.Errorf("service %q belongs to no live mandate or has no epoch %d", r.Groups[0].Service, r.Groups[0].Base)
+	}
+}
+
+func (s *State) foldGroup(r *Record, p *GroupProposal) GroupOutcome {
+	out := GroupOutcome{Service: p.Service}
+	cur, known := s.snap.groups.get(p.Service)
+	if known {
+		out.Epoch = cur.Epoch
+	}
+	_, live := s.snap.services.get(p.Service)
+	switch {
+	case known && cur.ID == r.ID:
+		out.Kind = Duplicate
+	case known && p.Base != cur.Epoch:
+		out.Kind = Conflict
+		out.Winner = Winner{Service: p.Service, Revision: cur.Epoch, ID: cur.ID}
+	case !live, !known && p.Base != 0:
+		out.Kind = Invalid
+	default:
+		out.Kind, out.Epoch = Accepted, s.snap.Version
+		s.snap.putGroup(cur, newGroup(p, s.snap.Version, r.ID))
+	}
+	return out
+}
+
+func newGroup(p *GroupProposal, epoch int64, id string) *Group {
+	g := &Group{ID: id}
+	g.Service, g.Epoch = p.Service, epoch
+	g.Members = make([]fleet.Member, len(p.Members))
+	for i, m := range p.Members {
+		g.Members[i] = fleet.Member{Node: m.Node, Incarnation: m.Incarnation}
+	}
+	return g
+}
+
+func (s *Snapshot) putGroup(cur, next *Group) {
+	if cur != nil {
+		s.Digest ^= cur.digest()
+	}
+	s.Digest ^= next.digest()
+	s.groups.set(next.Service, next, next.Epoch)
+}
