Add health decision core, trace replay and hyssopctl replay

Cause: targets that answer probes but serve slowly or wrongly need a decision core that combines the evidence of all entry nodes. Change: add package health (ranked likelihood test, link and fault explanations, floor, trial returns), package replay (reader, writer, scorer, generator) and the command hyssopctl replay.

--- /dev/null
+++ b/health/condemn.go
@@ -0,0 +1,127 @@
+package health
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	reduceMin    = 2 * time.Second // shortest time that a reduced target stays reduced
+	restoreShare = 0.25            // of the threshold; evidence below it restores a reduced target
+	weightSpan   = 3 * time.Second // span of the requests that the severity rests on
+)
+
+// condemn marks the target unhealthy; rebalance decides whether the floor
+// permits its ejection.
+func (c *Core) condemn(now time.Duration, t *target, total float64, items []sample) {
+	t.condemned = true
+	t.ejection = ejectionState{
+		since:    now,
+		weight:   c.severity(now, t),
+		reason:   reasonFor(items),
+		evidence: c.evidenceOf(t, total, items),
+	}
+	t.probesFail = 0
+	c.rebalance(now)
+	if !t.ejected {
+		c.decideAbout(now, Reduce, t, t.ejection.reason+"; the floor keeps it in service")
+	}
+}
+
+// severity orders condemned targets: the share of bad requests times one plus
+// the slowness. Failed answers count as the highest slowness.
+func (c *Core) severity(now time.Duration, t *target) float64 {
+	bad := 0
+	for _, s := range t.bad.since(c.scratch[:0], now-weightSpan) {
+		if s.weight > 0 {
+			bad++
+		}
+	}
+	for _, r := range t.open {
+		if c.pendingLLR(now, r) >= badLLR {
+			bad++
+		}
+	}
+	good := len(t.good.since(c.scratch[:0], now-weightSpan))
+	share := (float64(bad) + 0.5) / (float64(bad+good) + 1)
+	return share * (1 + math.Max(0, t.level))
+}
+
+// judgeReduced restores a target that the floor kept in service once its
+// evidence is gone.
+func (c *Core) judgeReduced(now time.Duration, t *target) {
+	t.ejection.weight = c.severity(now, t)
+	calm := c.total(now, t) < restoreShare*c.tuning.Threshold
+	if !calm || now-t.ejection.since < reduceMin {
+		return
+	}
+	t.condemned = false
+	t.crossing = false
+	c.decideAbout(now, Restore, t, "evidence is gone")
+}
+
+func (c *Core) evidenceOf(t *target, total float64, items []sample) Evidence {
+	e := Evidence{
+		Score:     total,
+		Threshold: c.tuning.Threshold,
+		Bad:       len(items),
+		Slowness:  math.Exp(t.level - c.shift),
+		ProbesBad: t.probesFail,
+	}
+	for i, s := range items {
+		if s.pending {
+			e.Pending++
+		}
+		if s.outcome.failure() {
+			e.Failures++
+		}
+		if firstIndex(items, nodeOf, int(s.node)) == i {
+			e.Nodes++
+		}
+		if firstIndex(items, zoneOf, int(s.zone)) == i {
+			e.Zones++
+		}
+	}
+	return e
+}
+
+func firstIndex(items []sample, source func(*sample) int, id int) int {
+	for i := range items {
+		if source(&items[i]) == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// reasonFor names the most frequent kind of bad request.
+func reasonFor(items []sample) string {
+	names := [...]string{"slow", "errors", "timeouts", "truncated answers", "open requests overdue"}
+	var counts [len(names)]int
+	for _, s := range items {
+		switch {
+		case s.pending:
+			counts[4]++
+		case s.outcome == Error:
+			counts[1]++
+		case s.outcome == Timeout:
+			counts[2]++
+		case s.outcome == Truncated:
+			counts[3]++
+		default:
+			counts[0]++
+		}
+	}
+	best := 0
+	for i, n := range counts {
+		if n > counts[best] {
+			best = i
+		}
+	}
+	return fmt.Sprintf("%s: %d of %d bad requests", names[best], counts[best], len(items))
+}
+
+func (c *Core) decideAbout(now time.Duration, k Kind, t *target, reason string) {
+	c.decide(Decision{At: now, Kind: k, Target: t.id, Reason: reason, Evidence: t.ejection.evidence})
+}
--- /dev/null
+++ b/health/judge.go
@@ -0,0 +1,164 @@
+package health
+
+import (
+	"math"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+// restShare is the share of the threshold that must remain when the evidence
+// of any one node or any one zone is left out.
+const restShare = 1.0 / 3
+
+// pendingLLR is the evidence of an open request, never negative.
+func (c *Core) pendingLLR(now time.Duration, r *request) float64 {
+	age := float64(now-r.start) / failureMillis / math.Exp(c.shift)
+	return math.Max(0, c.ref.latencyLLR(r.class, age))
+}
+
+// total is the target's score including its open requests.
+func (c *Core) total(now time.Duration, t *target) float64 {
+	if c.tuning.Method == Windowed {
+		return c.windowTotal(now, t)
+	}
+	sum := t.score
+	for _, r := range t.open {
+		if c.countsPending(now, t, r) {
+			sum += c.pendingLLR(now, r)
+		}
+	}
+	return sum
+}
+
+// countsPending excludes open requests that another fault explains.
+func (c *Core) countsPending(now time.Duration, t *target, r *request) bool {
+	return !t.cold.cold && !r.trial && !c.faults.source(now, r.node, r.class)
+}
+
+// windowTotal counts bad requests within the window, or 0 when their share of
+// all requests is small.
+func (c *Core) windowTotal(now time.Duration, t *target) float64 {
+	bad := 0
+	for _, s := range t.bad.since(c.scratch[:0], now-windowSpan) {
+		if s.weight > 0 {
+			bad++
+		}
+	}
+	for _, r := range t.open {
+		if c.countsPending(now, t, r) && c.pendingLLR(now, r) >= badLLR {
+			bad++
+		}
+	}
+	good := len(t.good.since(c.scratch[:0], now-windowSpan))
+	if float64(bad) < windowMin*float64(bad+good) {
+		return 0
+	}
+	return float64(bad)
+}
+
+func (c *Core) judgeAll(now time.Duration) {
+	for _, t := range c.order {
+		switch {
+		case t.ejected || t.state != fleet.Ready:
+		case t.condemned:
+			c.judgeReduced(now, t)
+		default:
+			c.judge(now, t)
+		}
+	}
+}
+
+// judge condemns a target whose evidence no other fault explains.
+func (c *Core) judge(now time.Duration, t *target) {
+	total := c.total(now, t)
+	if total < c.tuning.Threshold {
+		t.crossing = false
+		return
+	}
+	if !t.crossing {
+		t.crossing = true
+		t.crossed = now
+	}
+	if c.faults.held || c.faults.joint && now-t.crossed < settleTime {
+		return
+	}
+	items := c.items(now, t)
+	rest := c.unexplained(t, items)
+	if !c.enough(total, items, rest) {
+		return
+	}
+	c.condemn(now, t, total, rest)
+}
+
+// items returns the bad requests that make up the target's evidence.
+func (c *Core) items(now time.Duration, t *target) []sample {
+	var out []sample
+	for _, s := range t.bad.buf {
+		if s.weight > 0 && now-s.at <= badWindow {
+			out = append(out, s)
+		}
+	}
+	for _, r := range t.open {
+		if !c.countsPending(now, t, r) {
+			continue
+		}
+		llr := c.pendingLLR(now, r)
+		if llr >= badLLR {
+			s := c.sampleOf(now, r, OK, llr)
+			s.pending = true
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// enough reports whether the unexplained evidence suffices by itself and does
+// not rest on a single node or zone.
+func (c *Core) enough(total float64, all, rest []sample) bool {
+	if len(rest) < c.tuning.MinBad {
+		return false
+	}
+	h := c.tuning.Threshold
+	left := total - c.weigh(all) + c.weigh(rest)
+	if left < h {
+		return false
+	}
+	need := h * restShare
+	if c.nodesInUse() > 1 && left-c.heaviest(rest, func(s sample) int { return int(s.node) }) < need {
+		return false
+	}
+	if len(c.zones.list) > 1 && left-c.heaviest(rest, func(s sample) int { return int(s.zone) }) < need {
+		return false
+	}
+	return true
+}
+
+func (c *Core) nodesInUse() int { return len(c.nodeZone) }
+
+// weigh sums evidence in the unit of the method.
+func (c *Core) weigh(items []sample) float64 {
+	if c.tuning.Method == Windowed {
+		return float64(len(items))
+	}
+	sum := 0.0
+	for _, s := range items {
+		sum += float64(s.weight)
+	}
+	return sum
+}
+
+// heaviest is the largest evidence of one source.
+func (c *Core) heaviest(items []sample, source func(sample) int) float64 {
+	most := 0.0
+	for i := range items {
+		var own []sample
+		for _, s := range items {
+			if source(s) == source(items[i]) {
+				own = append(own, s)
+			}
+		}
+		most = max(most, c.weigh(own))
+	}
+	return most
+}
--- /dev/null
+++ b/health/observe.go
@@ -0,0 +1,157 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	levelWeight   = 0.125 // of one answer in a target's slowness
+	levelMax      = 3.0   // also stands for a failed answer
+	levelMin      = -1.0
+	openLimit     = 10 * time.Minute // a request open for longer is forgotten
+	failureMillis = float64(time.Millisecond)
+)
+
+// Start notes that a request was sent. A request to an unlisted target is
+// ignored.
+func (c *Core) Start(now time.Duration, o Started) {
+	t := c.targets[o.Target]
+	if t == nil || c.open[o.ID] != nil {
+		return
+	}
+	t.cold.onStart(now, t.condemned || t.everEjected > 0 && now-t.lastReturn < activeTime)
+	r := &request{
+		id:         o.ID,
+		start:      now,
+		target:     t,
+		node:       c.nodeNumber(o.Node, o.Zone),
+		class:      o.Class,
+		idempotent: o.Idempotent,
+		trial:      t.ejected,
+	}
+	r.zone = c.nodeZone[r.node]
+	c.open[o.ID] = r
+	if dropped := t.addOpen(r); dropped != nil {
+		delete(c.open, dropped.id)
+	}
+}
+
+func (c *Core) nodeNumber(node, zone string) uint16 {
+	n := c.nodes.number(node)
+	for len(c.nodeZone) <= n {
+		c.nodeZone = append(c.nodeZone, 0)
+	}
+	c.nodeZone[n] = uint8(c.zones.number(zone))
+	return uint16(n)
+}
+
+// End notes the outcome of a request. An unknown ID is ignored.
+func (c *Core) End(now time.Duration, o Ended) {
+	r := c.open[o.ID]
+	if r == nil {
+		return
+	}
+	delete(c.open, o.ID)
+	t := r.target
+	t.removeOpen(r)
+	t.lastEnd = now
+	if o.Outcome == Shed {
+		t.shed.onShed(now)
+		return
+	}
+	t.shed.onAnswer()
+	ms := float64(o.Latency) / failureMillis / math.Exp(c.shift)
+	llr := c.answerLLR(r, o.Outcome, ms)
+	c.learn(t, r, o.Outcome, ms)
+	s := c.sampleOf(now, r, o.Outcome, llr)
+	c.links.onAnswer(c, now, r, s)
+	if r.trial || t.ejected {
+		c.onTrialAnswer(now, r, s)
+		return
+	}
+	c.accumulate(t, s, llr)
+}
+
+func (c *Core) answerLLR(r *request, o Outcome, ms float64) float64 {
+	if o.failure() {
+		return c.ref.failureLLR(r.class)
+	}
+	return c.ref.latencyLLR(r.class, ms)
+}
+
+func (c *Core) sampleOf(now time.Duration, r *request, o Outcome, llr float64) sample {
+	return sample{
+		start:   r.start,
+		at:      now,
+		weight:  float32(llr),
+		node:    r.node,
+		zone:    r.zone,
+		class:   r.class,
+		outcome: o,
+	}
+}
+
+// accumulate adds an answer to the target's score and rings.
+func (c *Core) accumulate(t *target, s sample, llr float64) {
+	if llr < badLLR && !s.outcome.failure() {
+		t.score = math.Max(0, t.score+llr)
+		t.good.add(s)
+		return
+	}
+	if c.faults.explains(s.at, s) || t.cold.cold && !s.outcome.failure() {
+		s.weight = 0
+		t.bad.add(s)
+		return
+	}
+	limit := maxScore * c.tuning.Threshold
+	if c.tuning.Method == Windowed {
+		limit = math.Inf(1)
+	}
+	t.score = math.Min(limit, math.Max(0, t.score+llr))
+	t.bad.add(s)
+}
+
+// learn updates the reference and the target's slowness. Answers of suspect
+// targets stay out of the reference: several gray targets would otherwise
+// become the norm. While most targets are bad their answers are the norm.
+func (c *Core) learn(t *target, r *request, o Outcome, ms float64) {
+	c.learnLevel(t, r, o, ms)
+	if c.faults.held {
+		c.ref.add(r.class, o, ms)
+		return
+	}
+	if t.condemned || t.score >= gateScore || c.faults.source(r.start, r.node, r.class) {
+		return
+	}
+	if t.cold.cold && c.ref.classes[r.class].samples >= coldReference {
+		return
+	}
+	c.ref.add(r.class, o, ms)
+}
+
+// coldReference is the number of samples of a class from which the answers of
+// starting targets stay out of the reference.
+const coldReference = 200
+
+func (c *Core) learnLevel(t *target, r *request, o Outcome, ms float64) {
+	level, ok := c.ref.level(r.class, ms)
+	if !ok {
+		return
+	}
+	if o.failure() {
+		level = levelMax
+	}
+	t.cold.onAnswer(level)
+	level = math.Max(levelMin, math.Min(levelMax, level))
+	t.level += levelWeight * (level + c.shift - t.level)
+	t.levelKnown = true
+}
+
+// expireOpen forgets requests whose end was lost.
+func (c *Core) expireOpen(now time.Duration, t *target) {
+	for len(t.open) > 0 && now-t.open[0].start > openLimit {
+		delete(c.open, t.open[0].id)
+		t.open = append(t.open[:0], t.open[1:]...)
+	}
+}
--- /dev/null
+++ b/health/returns.go
@@ -0,0 +1,192 @@
+package health
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	waitMin      = 2 * time.Second  // from the first ejection to the first trial request
+	waitMax      = 60 * time.Second // backoff bound
+	waitGrowth   = 4                // per repeated ejection
+	retryMin     = 2500 * time.Millisecond
+	retryMax     = 10 * time.Second
+	trialSpacing = 150 * time.Millisecond
+	trialPasses  = 5               // good trial requests before the first step, per repeat
+	maxRepeats   = 6               // bounds passes and step lengths
+	stepTime     = time.Second     // length of a step, per repeat
+	stepGoods    = 3               // good answers that a step needs
+	relapseShare = 0.35            // of the threshold, while work is regained
+	calmTime     = 5 * time.Minute // in service, after which repeats are forgotten
+	jitterShare  = 0.2
+	trialShare   = 0.02 // published share of work while single requests are tried
+)
+
+// steps are the shares of idempotent work that a returning target regains.
+var steps = [...]float64{0.25, 0.5}
+
+// ejectionState is the state of a condemned target.
+type ejectionState struct {
+	since     time.Duration
+	weight    float64
+	reason    string
+	evidence  Evidence
+	nextTrial time.Duration
+	passes    int
+	step      int // 0 while single requests are tried, else index+1 in steps
+	stepEnd   time.Duration
+	goods     int // in this step
+}
+
+func (c *Core) eject(now time.Duration, t *target) {
+	if t.everEjected > 0 && now-t.lastReturn > calmTime {
+		t.everEjected = 0
+	}
+	t.everEjected++
+	t.ejected = true
+	t.resetEvidence()
+	t.ejection.step = 0
+	t.ejection.passes = 0
+	t.ejection.nextTrial = now + c.jitter(t, backoff(waitMin, waitMax, t.everEjected))
+	c.decideAbout(now, Eject, t, t.ejection.reason)
+}
+
+func backoff(first, most time.Duration, repeats int) time.Duration {
+	d := float64(first) * math.Pow(waitGrowth, float64(repeats-1))
+	return time.Duration(math.Min(d, float64(most)))
+}
+
+// jitter lengthens d by a share that depends on seed, target and repeats.
+func (c *Core) jitter(t *target, d time.Duration) time.Duration {
+	h := xxhash.Sum64String(fmt.Sprintf("%d/%s/%d", c.cfg.Seed, t.id, t.everEjected))
+	part := float64(h%1024) / 1024
+	return d + time.Duration(jitterShare*part*float64(d))
+}
+
+func (t *target) repeats() int { return min(max(t.everEjected, 1), maxRepeats) }
+
+// allowTrial admits limited idempotent work at an ejected target.
+func (c *Core) allowTrial(now time.Duration, t *target, idempotent bool) bool {
+	e := &t.ejection
+	if !idempotent || now < e.nextTrial {
+		return false
+	}
+	if e.step > 0 {
+		return t.thin(steps[e.step-1])
+	}
+	for _, r := range t.open {
+		if r.trial && !r.failed {
+			return false
+		}
+	}
+	e.nextTrial = now + trialSpacing
+	return true
+}
+
+// thin admits a share of the requests, evenly spaced.
+func (t *target) thin(share float64) bool {
+	t.thinning += share
+	if t.thinning < 1 {
+		return false
+	}
+	t.thinning--
+	return true
+}
+
+// onTrialAnswer handles the answer of an ejected target. Answers to requests
+// from before the ejection do not count.
+func (c *Core) onTrialAnswer(now time.Duration, r *request, s sample) {
+	t := r.target
+	if !r.trial || !t.ejected || r.failed {
+		return
+	}
+	e := &t.ejection
+	if s.outcome.failure() || s.weight >= badLLR {
+		c.onBadTrial(now, t, float64(s.weight))
+		return
+	}
+	t.score = math.Max(0, t.score+float64(s.weight))
+	e.goods++
+	if e.step > 0 {
+		return
+	}
+	e.passes++
+	if e.passes >= trialPasses*t.repeats() {
+		c.enterStep(now, t, 1)
+	}
+}
+
+// onBadTrial ends a trial. While single requests are tried one bad answer
+// does; while work is regained the evidence is summed up.
+func (c *Core) onBadTrial(now time.Duration, t *target, llr float64) {
+	e := &t.ejection
+	t.score += llr
+	if e.step > 0 && t.score < relapseShare*c.tuning.Threshold {
+		return
+	}
+	if e.step > 0 {
+		t.everEjected++
+		e.nextTrial = now + c.jitter(t, backoff(waitMin, waitMax, t.everEjected))
+	} else {
+		retry := min(retryMin*time.Duration(t.repeats()), retryMax)
+		e.nextTrial = now + c.jitter(t, retry)
+	}
+	e.step = 0
+	e.passes = 0
+	t.score = 0
+	c.decideAbout(now, Relapse, t, "bad answer during the return")
+}
+
+func (c *Core) enterStep(now time.Duration, t *target, step int) {
+	e := &t.ejection
+	e.step = step
+	e.goods = 0
+	e.stepEnd = now + stepTime*time.Duration(t.repeats())
+	e.weight /= 2
+	t.score = 0
+}
+
+// advanceReturns ends trials on overdue open requests and completes steps.
+func (c *Core) advanceReturns(now time.Duration) {
+	for _, t := range c.order {
+		if !t.ejected {
+			continue
+		}
+		c.failOverdue(now, t)
+		e := &t.ejection
+		if e.step == 0 || now < e.stepEnd || e.goods < stepGoods {
+			continue
+		}
+		if e.step < len(steps) {
+			c.enterStep(now, t, e.step+1)
+			continue
+		}
+		c.readmit(now, t)
+	}
+}
+
+func (c *Core) failOverdue(now time.Duration, t *target) {
+	for _, r := range t.open {
+		if !r.trial || r.failed {
+			continue
+		}
+		llr := c.pendingLLR(now, r)
+		if llr < strongLLR {
+			continue
+		}
+		r.failed = true
+		c.onBadTrial(now, t, llr)
+	}
+}
+
+func (c *Core) readmit(now time.Duration, t *target) {
+	t.ejected = false
+	t.condemned = false
+	t.lastReturn = now
+	t.level = 0
+	t.resetEvidence()
+	c.decideAbout(now, Return, t, "trial work was answered well")
+}
--- /dev/null
+++ b/replay/trace.go
@@ -0,0 +1,96 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/health"
+)
+
+// Version is the version of the trace format.
+const Version = 1
+
+// State is what a target really is.
+type State uint8
+
+// States of the truth lines.
+const (
+	Healthy State = iota
+	Gray
+	Failed
+	Starting
+)
+
+var stateNames = [...]string{"healthy", "gray", "failed", "starting"}
+
+func (s State) String() string { return stateNames[s] }
+
+// sick reports whether the target should be ejected.
+func (s State) sick() bool { return s == Gray || s == Failed }
+
+func parseState(s string) (State, error) {
+	for i, name := range stateNames {
+		if name == s {
+			return State(i), nil
+		}
+	}
+	return 0, fmt.Errorf("unknown state %q, want healthy, gray, failed or starting", s)
+}
+
+// TargetInfo describes a target of the header.
+type TargetInfo struct {
+	ID    string `json:"id"`
+	Zone  string `json:"zone"`
+	Slots int    `json:"slots"`
+}
+
+// NodeInfo describes a node of the header.
+type NodeInfo struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+}
+
+// Kind is the type of an event.
+type Kind uint8
+
+// Kinds of events.
+const (
+	Start Kind = iota
+	End
+	Probe
+	Truth
+)
+
+// Event is one line after the header. Which fields are set depends on Kind.
+type Event struct {
+	At         time.Duration
+	Latency    time.Duration // End, Probe
+	ID         uint64        // Start, End
+	Target     int32         // index in Trace.Targets; Start, Probe, Truth
+	Node       int32         // index in Trace.Nodes; Start, Probe
+	Kind       Kind
+	Class      fleet.Class    // Start
+	Idempotent bool           // Start
+	Outcome    health.Outcome // End
+	OK         bool           // Probe
+	State      State          // Truth
+}
+
+// Trace is a whole trace.
+type Trace struct {
+	File     string // as named in reports
+	Service  string
+	Floor    int
+	Duration time.Duration
+	Targets  []TargetInfo
+	Nodes    []NodeInfo
+	Events   []Event
+}
+
+// fromMillis converts milliseconds of the format.
+func fromMillis(ms float64) time.Duration { return time.Duration(math.Round(ms * 1e6)) }
+
+// toMillis converts to milliseconds with a resolution of 1 µs.
+func toMillis(d time.Duration) float64 { return math.Round(float64(d)/1e3) / 1e3 }
