--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -121,7 +121,6 @@
 	}
 }
 
-
 // runUntil steps until ok and returns the time taken, or fails after limit.
 func (n *network) runUntil(t testing.TB, limit time.Duration, what string, ok func() bool) time.Duration {
 	t.Helper()
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,101 @@
+package registry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+// Registry is a Core with a lock and a clock. It is safe for concurrent use.
+type Registry struct {
+	clock    func() time.Time
+	onChange func([]Target)
+
+	mu   sync.Mutex
+	core *Core
+	sent uint64
+}
+
+// New returns an empty registry. The clock may be nil for the system's.
+// OnChange receives all targets after each change, in order, while the registry
+// is locked: it must not block or call the registry. It may be nil.
+func New(s Settings, clock func() time.Time, onChange func([]Target)) *Registry {
+	if clock == nil {
+		clock = time.Now
+	}
+	return &Registry{clock: clock, onChange: onChange, core: NewCore(s)}
+}
+
+func (r *Registry) do(step func(c *Core, now time.Time)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	step(r.core, r.clock())
+	if v := r.core.Version(); v != r.sent && r.onChange != nil {
+		r.sent = v
+		r.onChange(r.core.List())
+	}
+}
+
+// Announce takes an announcement; see Core.Announce.
+func (r *Registry) Announce(a Announcement) (err error) {
+	r.do(func(c *Core, now time.Time) { err = c.Announce(now, a) })
+	return err
+}
+
+// Remove marks a target Down and reports whether it was known.
+func (r *Registry) Remove(id string) (known bool) {
+	r.do(func(c *Core, now time.Time) { known = c.Remove(now, id) })
+	return known
+}
+
+// Drain makes a target Leaving until Undrain.
+func (r *Registry) Drain(id string) (err error) {
+	r.do(func(c *Core, now time.Time) { err = c.Drain(now, id) })
+	return err
+}
+
+// Undrain ends a drain and reports whether there was one.
+func (r *Registry) Undrain(id string) (had bool) {
+	r.do(func(c *Core, now time.Time) { had = c.Undrain(now, id) })
+	return had
+}
+
+// Drains returns the IDs of drained targets.
+func (r *Registry) Drains() (ids []string) {
+	r.do(func(c *Core, _ time.Time) { ids = c.Drains() })
+	return ids
+}
+
+// Tick expires silent targets; it is to be called about every 100 ms.
+func (r *Registry) Tick() { r.do(func(c *Core, now time.Time) { c.Tick(now) }) }
+
+// List returns all targets with their addresses, sorted by ID.
+func (r *Registry) List() (list []Target) {
+	r.do(func(c *Core, _ time.Time) { list = c.List() })
+	return list
+}
+
+// Run calls Tick until done is closed.
+func (r *Registry) Run(done <-chan struct{}) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			r.Tick()
+		}
+	}
+}
+
+// Instances returns the records of targets for the membership.
+func Instances(targets []Target) []fleet.Instance {
+	list := make([]fleet.Instance, 0, len(targets))
+	for _, t := range targets {
+		list = append(list, t.Instance)
+	}
+	return slices.Clip(list)
+}
