Keep the history of home groups

Cause: a home without a record has to ask the homes of the epochs of the last 24 h, and a lease needs the base epoch and the log time of its group; the state kept neither.

--- a/control/adopt.go
+++ b/control/adopt.go
@@ -73,9 +73,8 @@
 
 func (s *Snapshot) mergeGroups(items []GroupItem) {
 	for i := range items {
-		p := GroupProposal{Service: items[i].Service, Members: items[i].Members}
-		cur, _ := s.groups.get(p.Service)
-		s.putGroup(cur, newGroup(&p, items[i].Epoch, items[i].ID))
+		cur, _ := s.groups.get(items[i].Service)
+		s.putGroup(cur, items[i].group())
 	}
 }
 
--- a/control/digest.go
+++ b/control/digest.go
@@ -49,9 +49,9 @@
 	h.text(g.Service)
 	h.number(g.Epoch)
 	h.text(g.ID)
-	for _, m := range g.Members {
-		h.text(m.Node)
-		h.number(m.Incarnation)
-	}
+	h.number(g.Base)
+	h.number(g.AcceptedMS)
+	h.members(memberItems(g.Members))
+	h.history(g.Past)
 	return h.sum.Sum64()
 }
--- a/control/foldhomes.go
+++ b/control/foldhomes.go
@@ -8,10 +8,10 @@
 
 // foldHomes folds the proposals of one record. Each group is judged by itself;
 // the record is accepted if at least one group is.
-func (s *State) foldHomes(r *Record, out *Outcome) {
+func (s *State) foldHomes(r *Record, acceptedMS int64, out *Outcome) {
 	out.Kind = Conflict
 	for i := range r.Groups {
-		g := s.foldGroup(r, &r.Groups[i])
+		g := s.foldGroup(r, acceptedMS, &r.Groups[i])
 		out.Groups = append(out.Groups, g)
 		if g.Kind == Accepted {
 			out.Kind, out.Revision = Accepted, g.Epoch
@@ -26,7 +26,7 @@
 	}
 }
 
-func (s *State) foldGroup(r *Record, p *GroupProposal) GroupOutcome {
+func (s *State) foldGroup(r *Record, acceptedMS int64, p *GroupProposal) GroupOutcome {
 	out := GroupOutcome{Service: p.Service}
 	cur, known := s.snap.groups.get(p.Service)
 	if known {
@@ -43,19 +43,18 @@
 		out.Kind = Invalid
 	default:
 		out.Kind, out.Epoch = Accepted, s.snap.Version
-		s.snap.putGroup(cur, newGroup(p, s.snap.Version, r.ID))
+		item := GroupItem{Service: p.Service, Epoch: s.snap.Version, ID: r.ID, Base: p.Base,
+			AcceptedMS: acceptedMS, Members: p.Members, Past: nextHistory(cur, acceptedMS)}
+		s.snap.putGroup(cur, item.group())
 	}
 	return out
 }
 
-func newGroup(p *GroupProposal, epoch int64, id string) *Group {
-	g := &Group{ID: id}
-	g.Service, g.Epoch = p.Service, epoch
-	g.Members = make([]fleet.Member, len(p.Members))
-	for i, m := range p.Members {
-		g.Members[i] = fleet.Member{Node: m.Node, Incarnation: m.Incarnation}
+func (it *GroupItem) group() *Group {
+	return &Group{
+		HomeGroup: fleet.HomeGroup{Service: it.Service, Epoch: it.Epoch, Members: fleetMembers(it.Members)},
+		ID:        it.ID, Base: it.Base, AcceptedMS: it.AcceptedMS, Past: it.Past,
 	}
-	return g
 }
 
 func (s *Snapshot) putGroup(cur, next *Group) {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -26,7 +26,10 @@
 // Group is the accepted home group of one service. It is immutable.
 type Group struct {
 	fleet.HomeGroup
-	ID string // ID of the record that set the group
+	ID         string       // ID of the record that set the group
+	Base       int64        // epoch that the group replaced; 0 for the first
+	AcceptedMS int64        // log time of the record, Unix ms
+	Past       []GroupEpoch // earlier groups, oldest first; see groupWindow
 }
 
 // RoundMark describes the newest complete checkpoint round in the log.
@@ -116,3 +119,17 @@
 		}
 	}
 }
+
+// Group returns the home group of a service with its history.
+func (s *Snapshot) Group(service string) (*Group, bool) { return s.groups.get(service) }
+
+// GroupsAfter yields the groups whose epoch is higher than version.
+func (s *Snapshot) GroupsAfter(version int64) iter.Seq[*Group] {
+	return func(yield func(*Group) bool) {
+		for g := range s.groups.after(version) {
+			if g.Epoch > version && !yield(g) {
+				return
+			}
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -87,7 +87,7 @@
 	case r.Kind == KindCheckpoint:
 		s.foldCheckpoint(e, r, out)
 	case r.Kind == KindHomes:
-		s.foldHomes(r, out)
+		s.foldHomes(r, e.Time.UnixMilli(), out)
 	default:
 		s.foldMandate(r, out)
 	}
--- a/control/update.go
+++ b/control/update.go
@@ -42,6 +42,10 @@
 	Epoch   int64
 	ID      string
 	Members []MemberItem
+
+	Base       int64
+	AcceptedMS int64
+	Past       []GroupEpoch
 }
 
 // ErrBadUpdate is returned for an update that breaks the format, or whose
@@ -98,9 +102,6 @@
 }
 
 func (g *Group) item() GroupItem {
-	item := GroupItem{Service: g.Service, Epoch: g.Epoch, ID: g.ID}
-	for _, m := range g.Members {
-		item.Members = append(item.Members, MemberItem{Node: m.Node, Incarnation: m.Incarnation})
-	}
-	return item
+	return GroupItem{Service: g.Service, Epoch: g.Epoch, ID: g.ID, Members: memberItems(g.Members),
+		Base: g.Base, AcceptedMS: g.AcceptedMS, Past: g.Past}
 }
