--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"hyssopbridge/filters"
 	"hyssopbridge/loadbalancer"
 	"hyssopbridge/resultcode"
 	"hyssopbridge/upstream"
@@ -19,11 +20,15 @@
 	resp    *http.Response
 	watch   Observation
 	started time.Time
+	id      string // names this attempt at the host node; empty on idempotent routes
 }
 
 // attempt sends the request to a target and returns once an answer that can be
 // passed on has begun.
 func (c *call) attempt() (*attempt, error) {
+	if c.lease != nil && time.Until(c.lease.End) <= 0 {
+		return nil, resultcode.New(resultcode.NoLease, "lease has lapsed")
+	}
 	ask := loadbalancer.Request{Idempotent: c.route.Idempotent, Class: c.route.Class, Exclude: c.tried}
 	picked, err := c.e.cfg.Balancer.Pick(c.e.cfg.Clock(), c.route.Service.Name, ask)
 	if err != nil {
@@ -32,6 +37,9 @@
 	c.attempts++
 	c.tried = append(c.tried, picked.Endpoint.ID)
 	a := &attempt{c: c, picked: picked, started: time.Now()}
+	if !c.route.Idempotent {
+		a.id = newAttemptID(a.started)
+	}
 	a.watch = c.e.cfg.Observer.Start(c.route, picked.Endpoint)
 	if err := a.exchange(); err != nil {
 		a.end(err)
@@ -97,11 +105,8 @@
 		return a.lost(exchangeError(a.c.ctx, err, resultcode.PeerUnreachable, resultcode.PeerLost))
 	}
 	a.resp = resp
-	if resp.Header.Get(HeaderRequestID) != a.c.id {
-		return resultcode.New(resultcode.AnswerMismatch, "answer for request %q, want %q", resp.Header.Get(HeaderRequestID), a.c.id)
-	}
-	if code, refused := peerResult(resp.Header); refused {
-		return &resultcode.Error{Code: code, Ran: parseRan(resp.Header.Get(HeaderRan)), Err: errPeerRefused}
+	if err := a.c.checkPeerAnswer(resp); err != nil {
+		return err
 	}
 	return a.checkStatus()
 }
@@ -116,7 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.c.ctx), settleTimeout)
 	defer cancel()
-	if a.c.e.cfg.Settler.NotRun(ctx, a.picked.Endpoint.Node, a.c.id) {
+	if a.c.e.cfg.Settler.NotRun(ctx, a.picked.Endpoint.Node, a.id) {
 		return re.NotRun()
 	}
 	return re
@@ -168,7 +173,7 @@
 	c := a.c
 	out := outgoingRequest(c.r)
 	out.Header = c.r.Header.Clone()
-	removeHopByHop(out.Header)
+	filters.StripHeader(out.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
@@ -188,15 +193,15 @@
 	h[HeaderRequestID] = []string{c.id}
 	h[HeaderTarget] = []string{a.picked.Endpoint.ID + ";" + strconv.FormatInt(a.picked.Endpoint.Incarnation, 10)}
 	h[HeaderClass] = []string{c.route.Class.String()}
-	h[HeaderRoute] = []string{c.route.Name}
+	h[HeaderRoute] = []string{c.route.ID}
 	h[HeaderVersion] = []string{strconv.FormatInt(c.e.cfg.Router.Version(), 10)}
 	setMillis(h, HeaderDeadline, time.Until(c.deadline))
 	setMillis(h, HeaderStall, c.route.Stall)
-	if c.route.Idempotent {
-		h[HeaderFlags] = []string{flagIdempotent}
+	if a.id != "" {
+		h[HeaderAttempt] = []string{a.id}
 	}
-	if c.order != nil {
-		c.order.set(h)
+	if c.lease != nil {
+		c.lease.set(h)
 	}
 }
 
--- a/proxy/deliver.go
+++ b/proxy/deliver.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 
+	"hyssopbridge/filters"
 	"hyssopbridge/fleet"
 )
 
@@ -50,10 +51,10 @@
 func writeAnswerHead(w http.ResponseWriter, resp *http.Response, id string) {
 	h := w.Header()
 	copyHeader(h, resp.Header)
-	removeHopByHop(h)
-	removeInternal(h)
+	filters.StripHeader(h)
 	announceTrailers(h, resp.Trailer)
 	h[RequestIDHeader] = []string{id}
+	h[HeaderRequestID] = []string{id}
 	h[HeaderResult] = []string{answeredResult}
 	w.WriteHeader(resp.StatusCode)
 	flushStream(w, resp)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
-	"strconv"
-	"sync/atomic"
 	"time"
 
+	"hyssopbridge/filters"
 	"hyssopbridge/fleet"
 	"hyssopbridge/loadbalancer"
 	"hyssopbridge/resultcode"
@@ -22,17 +22,12 @@
 type Router interface {
 	// Match returns the route of r, or an error with a result code.
 	Match(r *http.Request) (*routing.Route, error)
+	// Find returns a route by its service and name.
+	Find(service, route string) (*routing.Route, error)
 	// Version returns the version of the configuration in force.
 	Version() int64
 }
 
-// Gate decides whether a request may go on before a target is selected, for
-// example by the customer's rate limit.
-type Gate interface {
-	// Check returns an error with a result code that states "not run".
-	Check(r *http.Request, route *routing.Route) error
-}
-
 // RetryBudget bounds the load that retries add.
 type RetryBudget interface {
 	// Request counts a first attempt.
@@ -49,11 +44,11 @@
 
 // EntryConfig configures an Entry.
 type EntryConfig struct {
-	IDPrefix string // makes request IDs unique in the fleet
 	Router   Router
 	Balancer *loadbalancer.Balancer
 	Clock    func() time.Duration // monotonic time
-	Gate     Gate
+	Before   *filters.Chain       // filters that run before routing
+	After    *filters.Chain       // filters that run after routing
 	Budget   RetryBudget
 	Settler  Settler
 	Orders   OrderHomes // nil: keyed orders are handled like any other request
@@ -65,8 +60,7 @@
 
 // Entry serves callers.
 type Entry struct {
-	cfg    EntryConfig
-	lastID atomic.Uint64
+	cfg EntryConfig
 }
 
 // NewEntry returns an Entry.
@@ -85,9 +79,10 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	body     *requestBody
-	order    *orderHeaders // set for keyed orders run by their home
-	tried    []string      // instances that were tried
+	lease    *Lease   // set for keyed orders run by their home
+	tried    []string // instances that were tried
 	attempts int
+	filter   filters.Context
 	// shortened is set when the caller asked for less time than the route
 	// gives. A timeout is then no evidence against the target.
 	shortened bool
@@ -96,15 +91,11 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{e: e, w: w, r: r, start: time.Now(), id: e.nextID()}
+	c := &call{e: e, w: w, r: r, start: time.Now()}
 	err := c.serve()
 	c.finish(err)
 }
 
-func (e *Entry) nextID() string {
-	return e.cfg.IDPrefix + strconv.FormatUint(e.lastID.Add(1), 36)
-}
-
 // finish writes a refusal if nothing was written, records the result, and
 // aborts the connection when an answer broke off.
 func (c *call) finish(err error) {
@@ -144,19 +135,33 @@
 	if c.e.cfg.Leaving != nil && c.e.cfg.Leaving() {
 		c.w.Header().Set("Connection", "close")
 	}
-	removeInternal(c.r.Header)
-	if err := c.match(); err != nil {
+	c.filter = filters.Context{Request: c.r, RemoteIP: remoteIP(c.r), Now: c.e.cfg.Clock()}
+	err := c.e.cfg.Before.Request(&c.filter)
+	c.id = c.filter.RequestID
+	if err != nil {
 		return err
 	}
-	defer c.cancel(nil)
-	defer c.timer.Stop()
-	if err := c.e.cfg.Gate.Check(c.r, c.route); err != nil {
+	defer c.e.cfg.Before.Done(&c.filter)
+	if c.route, err = c.e.cfg.Router.Match(c.r); err != nil {
 		return err
 	}
-	if key := c.r.Header.Get(idempotencyKey); key != "" && !c.route.Idempotent && c.e.cfg.Orders != nil {
-		return c.serveKeyed(key)
+	c.filter.Route = c.route
+	if err := c.e.cfg.After.Request(&c.filter); err != nil {
+		return err
 	}
+	defer c.e.cfg.After.Done(&c.filter)
+	c.startDeadline()
+	defer func() { c.cancel(nil) }()
+	defer c.timer.Stop()
+	return c.run()
+}
+
+// run reads the body as far as needed and sends the request.
+func (c *call) run() error {
 	var err error
+	if c.filter.Key != "" && c.e.cfg.Orders != nil {
+		return c.serveKeyed()
+	}
 	c.body, err = readBody(c.w, c.r, replayBytes, c.route.MaxBody, c.e.cfg.BodyIdle)
 	if err != nil {
 		return err
@@ -164,23 +169,25 @@
 	return c.send()
 }
 
-// match finds the route and starts the deadline.
-func (c *call) match() error {
-	route, err := c.e.cfg.Router.Match(c.r)
+func remoteIP(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		return err
-	}
-	c.route = route
-	timeout := route.Timeout
-	if asked := millis(c.r.Header, TimeoutHeader); asked > 0 && asked < timeout {
-		timeout, c.shortened = asked, true
+		return r.RemoteAddr
 	}
+	return host
+}
+
+// startDeadline starts the timer that ends the request.
+func (c *call) startDeadline() {
+	timeout := c.filter.Deadline - c.filter.Now
+	c.shortened = timeout < c.route.Timeout
 	c.deadline = c.start.Add(timeout)
 	c.ctx, c.cancel = context.WithCancelCause(c.r.Context())
-	c.timer = time.AfterFunc(timeout, func() { c.cancel(context.DeadlineExceeded) })
-	return nil
+	c.timer = time.AfterFunc(time.Until(c.deadline), c.expire)
 }
 
+func (c *call) expire() { c.cancel(context.DeadlineExceeded) }
+
 // send tries targets until one answers or no further attempt is allowed.
 func (c *call) send() error {
 	c.e.cfg.Budget.Request(c.route.Service.Name)
--- a/proxy/fixture_test.go
+++ b/proxy/fixture_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hyssopbridge/config/manifest"
+	"hyssopbridge/filters"
 	"hyssopbridge/fleet"
 	"hyssopbridge/loadbalancer"
 	"hyssopbridge/resultcode"
@@ -54,14 +55,20 @@
 	closed bool            // refuse to settle, as a lost node would
 }
 
-func (f *fakeAdmitted) Admit(id string) bool {
+func (f *fakeAdmitted) Admit(id string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if admitted, seen := f.ids[id]; seen && !admitted {
-		return false
+		return resultcode.New(resultcode.Barred, "barred")
 	}
 	f.ids[id] = true
-	return true
+	return nil
+}
+
+func (f *fakeAdmitted) Withdraw(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids[id] = false
 }
 
 func (f *fakeAdmitted) NotRun(_ context.Context, _ fleet.Node, id string) bool {
@@ -82,13 +89,9 @@
 	return f.retries >= 0
 }
 
-type openGate struct{}
-
-func (openGate) Check(*http.Request, *routing.Route) error { return nil }
-
 type openFence struct{}
 
-func (openFence) Check(string, int64) error { return nil }
+func (openFence) Check(string, int64, string, time.Duration) error { return nil }
 
 type fakeObserver struct {
 	mu       sync.Mutex
@@ -122,7 +125,7 @@
 		endpoints = append(endpoints, f.startHost(i, h))
 	}
 	f.balancer.Update(f.clock(), "s", 1, endpoints, nil)
-	f.entryH = NewEntry(EntryConfig{IDPrefix: "t-", Router: f, Balancer: f.balancer, Clock: f.clock, Gate: openGate{},
+	f.entryH = NewEntry(EntryConfig{Router: f, Balancer: f.balancer, Clock: f.clock, Before: chain(t, filters.BeforeRouting()), After: chain(t, filters.AfterRouting()),
 		Budget: f.budget, Settler: f.admitted, Client: upstream.NewClient(upstream.Config{}), Observer: f.outcomes, BodyIdle: time.Second})
 	f.entry = startServer(t, f.entryH)
 	return f
@@ -150,6 +153,19 @@
 	return fleet.Endpoint{Instance: in, Node: fleet.Node{ID: "h" + id, PeerAddr: server.Listener.Addr().String(), Zone: "z1"}}
 }
 
+func chain(t *testing.T, uses []filters.Use) *filters.Chain {
+	c, err := filters.NewRegistry(filters.Resources{}).Chain(uses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (f *fixture) Find(service, route string) (*routing.Route, error) {
+	r, _ := f.table.Route(service, route)
+	return r, nil
+}
+
 func (f *fixture) clock() time.Duration { return time.Since(f.start) }
 func (f *fixture) Version() int64       { return 1 }
 
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -21,11 +20,12 @@
 	HeaderTarget    = "Hb-Target"
 	HeaderDeadline  = "Hb-Deadline-Ms"
 	HeaderClass     = "Hb-Class"
-	HeaderFlags     = "Hb-Flags"
+	HeaderAttempt   = "Hb-Attempt-Id" // present on routes that are not idempotent
 	HeaderStall     = "Hb-Stall-Ms"
 	HeaderEpoch     = "Hb-Epoch"
 	HeaderLease     = "Hb-Lease-Ms"
 	HeaderKey       = "Hb-Key"
+	HeaderCustomer  = "Hb-Customer"
 	HeaderRole      = "Hb-Role"
 	HeaderResult    = "Hb-Result"
 	HeaderRan       = "Hb-Ran"
@@ -38,38 +38,11 @@
 	RequestIDHeader = "Request-Id"
 	// TimeoutHeader tells the target how many ms are left for the answer.
 	TimeoutHeader = "Request-Timeout-Ms"
+	// HeaderReplayed marks the stored answer of an earlier request with the
+	// same idempotency key.
+	HeaderReplayed = "Hb-Replayed"
 )
 
-// hopByHop headers belong to one connection and are not forwarded.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// removeHopByHop deletes hop-by-hop headers, including those that the
-// Connection header names.
-func removeHopByHop(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			if name = textproto.TrimString(name); name != "" {
-				h.Del(name)
-			}
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
-}
-
-// removeInternal deletes every Hb- header.
-func removeInternal(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(name, HeaderPrefix) {
-			delete(h, name)
-		}
-	}
-}
-
 // copyHeader copies src into dst.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
--- a/proxy/host.go
+++ b/proxy/host.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"hyssopbridge/filters"
 	"hyssopbridge/fleet"
 	"hyssopbridge/resultcode"
 	"hyssopbridge/upstream"
@@ -39,14 +40,17 @@
 
 // Admitted remembers the IDs of requests that may have reached a target.
 type Admitted interface {
-	// Admit records id; false means that id was barred and must not run.
-	Admit(id string) bool
+	// Admit records an attempt that is about to be sent. An error refuses it.
+	Admit(id string) error
+	// Withdraw states that nothing of an admitted attempt was sent.
+	Withdraw(id string)
 }
 
 // Fence refuses keyed orders whose lease is no longer valid.
 type Fence interface {
 	// Check returns an error unless an order of the given epoch may start now.
-	Check(service string, epoch int64) error
+	// left is what remains of the home's lease.
+	Check(service string, epoch int64, attempt string, left time.Duration) error
 }
 
 // HostConfig configures a Host.
@@ -57,6 +61,9 @@
 	Fence     Fence
 	Client    *upstream.Client
 	Leaving   func() bool // whether this node refuses new work; may be nil
+	// Allowed returns an error when the configuration no longer lets the
+	// service serve, as after a withdrawal that the entry node does not know.
+	Allowed func(service string) error
 }
 
 // Host serves requests that other nodes send for targets beside this node.
@@ -73,7 +80,7 @@
 	target      string
 	incarnation int64
 	class       fleet.Class
-	idempotent  bool
+	attempt     string // empty on idempotent routes
 	download    bool
 	deadline    time.Duration
 	stall       time.Duration
@@ -94,7 +101,7 @@
 		return p, resultcode.New(resultcode.BadRequest, "%w", err)
 	}
 	p.download = p.class == fleet.Download
-	p.idempotent = h.Get(HeaderFlags) == flagIdempotent
+	p.attempt = h.Get(HeaderAttempt)
 	p.deadline = millis(h, HeaderDeadline)
 	p.stall = millis(h, HeaderStall)
 	if p.deadline <= 0 {
@@ -109,9 +116,6 @@
 	return p, nil
 }
 
-// flagIdempotent is the value of HeaderFlags for routes that may be repeated.
-const flagIdempotent = "idempotent"
-
 // ServeHTTP implements http.Handler.
 func (s *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p, err := parseHop(r.Header, time.Now())
@@ -161,6 +165,11 @@
 	if target.State == fleet.Leaving {
 		return target, resultcode.New(resultcode.TargetLeaving, "instance %s is leaving", p.target)
 	}
+	if s.cfg.Allowed != nil {
+		if err := s.cfg.Allowed(target.Service); err != nil {
+			return target, err
+		}
+	}
 	if s.cfg.Leaving != nil && s.cfg.Leaving() {
 		return target, resultcode.New(resultcode.NodeLeaving, "node is leaving")
 	}
@@ -178,14 +187,14 @@
 		if time.Since(p.received) >= p.lease {
 			return resultcode.New(resultcode.NoLease, "lease of the home node has lapsed")
 		}
-		if err := s.cfg.Fence.Check(target.Service, p.epoch); err != nil {
+		if err := s.cfg.Fence.Check(target.Service, p.epoch, p.attempt, p.lease-time.Since(p.received)); err != nil {
 			return resultcode.New(resultcode.NoLease, "%w", err)
 		}
 	}
-	if !p.idempotent && !s.cfg.Admitted.Admit(p.id) {
-		return resultcode.New(resultcode.Barred, "request %s was settled as not run", p.id)
+	if p.attempt == "" {
+		return nil
 	}
-	return nil
+	return s.cfg.Admitted.Admit(p.attempt)
 }
 
 // forward sends the request to the target and copies the answer back.
@@ -198,7 +207,7 @@
 	out, opt := s.outgoing(r, p, deadline)
 	resp, err := s.cfg.Client.Do(ctx, target.Addr, out, opt)
 	if err != nil {
-		return exchangeError(ctx, err, resultcode.NoTarget, resultcode.TargetError)
+		return s.notAnswered(p, exchangeError(ctx, err, resultcode.NoTarget, resultcode.TargetError))
 	}
 	defer resp.Body.Close()
 	if err := checkAnswer(resp, p.id); err != nil {
@@ -217,6 +226,14 @@
 	return nil
 }
 
+// notAnswered withdraws the admission of a request of which nothing was sent.
+func (s *Host) notAnswered(p hop, err error) error {
+	if p.attempt != "" && asResult(err).Ran == resultcode.RanNo {
+		s.cfg.Admitted.Withdraw(p.attempt)
+	}
+	return err
+}
+
 func (s *Host) outgoing(r *http.Request, p hop, deadline time.Time) (*http.Request, upstream.Options) {
 	out := outgoingRequest(r)
 	out.Body, out.ContentLength = r.Body, r.ContentLength
@@ -228,8 +245,7 @@
 	}
 	out.Trailer = r.Trailer
 	out.Header = r.Header.Clone()
-	removeHopByHop(out.Header)
-	removeInternal(out.Header)
+	filters.StripHeader(out.Header)
 	delete(out.Header, "Expect")
 	out.Header[RequestIDHeader] = []string{p.id}
 	left := time.Until(deadline)
@@ -238,7 +254,7 @@
 	}
 	setMillis(out.Header, TimeoutHeader, left)
 	opt := upstream.Options{Stream: true}
-	if !p.idempotent {
+	if p.attempt != "" {
 		opt.MaxIdleAge = reuseAgeAtMostOnce
 	}
 	return out, opt
@@ -269,8 +285,7 @@
 func (s *Host) writeHead(w http.ResponseWriter, resp *http.Response, p hop) {
 	h := w.Header()
 	copyHeader(h, resp.Header)
-	removeHopByHop(h)
-	removeInternal(h)
+	filters.StripHeader(h)
 	announceTrailers(h, resp.Trailer)
 	h[HeaderRequestID] = []string{p.id}
 	h[HeaderTarget] = []string{p.target}
--- a/proxy/observe.go
+++ b/proxy/observe.go
@@ -52,15 +52,25 @@
 	Bytes    int64
 	Took     time.Duration
 	Keyed    bool
+	Hop      Hop
 	Err      error
 }
 
+// Hop tells which part of the path a Result is from.
+type Hop uint8
+
+// Hops.
+const (
+	HopEntry Hop = iota // the node that the caller reached
+	HopHome             // the home of a keyed order, reached through another node
+)
+
 func (c *call) record(err error) {
 	r := &c.result
-	r.ID, r.Attempts, r.Took, r.Err = c.id, c.attempts, time.Since(c.start), err
+	r.ID, r.Keyed, r.Attempts, r.Took, r.Err = c.id, c.filter.Key != "", c.attempts, time.Since(c.start), err
 	if c.route != nil {
 		r.Service, r.Route, r.Class = c.route.Service.Name, c.route.Name, c.route.Class
-		r.Customer = c.r.Header.Get(c.route.CustomerHeader)
+		r.Customer = c.filter.Customer
 	}
 	if len(c.tried) > 0 {
 		r.Target = c.tried[len(c.tried)-1]
