--- /dev/null
+++ b/config/manifest/syntax.go
@@ -0,0 +1,21 @@
+package manifest
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+var syntaxPosition = regexp.MustCompile(`line (\d+), column (\d+)`)
+
+// addSyntax reports a text that is not JSON with comments. The parser states
+// the position in the text of its error.
+func (r *report) addSyntax(err error) {
+	message := strings.TrimPrefix(err.Error(), "hujson: ")
+	p := Problem{File: r.file, Line: 1, Column: 1, Message: message}
+	if at := syntaxPosition.FindStringSubmatch(message); at != nil {
+		p.Line, _ = strconv.Atoi(at[1])
+		p.Column, _ = strconv.Atoi(at[2])
+	}
+	r.problems = append(r.problems, p)
+}
--- a/control/scan.go
+++ b/control/scan.go
@@ -21,6 +21,10 @@
 	count int
 }
 
+func newScanner(first int64) *scanner {
+	return &scanner{first: first, next: first, rounds: make(map[string]*roundParts)}
+}
+
 // startScan begins a scan at the first retained offset, unless the state
 // already reaches it.
 func (c *Controller) startScan(first int64) {
@@ -29,7 +33,7 @@
 		c.log.scan = nil
 		return
 	}
-	c.log.scan = &scanner{first: first, next: first, rounds: make(map[string]*roundParts)}
+	c.log.scan = newScanner(first)
 }
 
 // endScan ends a scan if the state reaches the retained part, for example
@@ -42,19 +46,25 @@
 }
 
 func (c *Controller) scanEntries(entries []platformlog.Entry) {
-	s := c.log.scan
+	if c.log.scan.restore(c.state, entries) {
+		c.log.scan = nil
+		c.log.next = c.log.sent
+	}
+}
+
+// restore takes entries, and reports whether the state now is that of a round.
+func (s *scanner) restore(state *State, entries []platformlog.Entry) bool {
 	for i := range entries {
 		s.next = entries[i].Offset + 1
 		u, ok := s.add(&entries[i])
 		if !ok {
 			continue
 		}
-		if adopted, _ := c.state.Adopt(u); adopted {
-			c.log.scan = nil
-			c.log.next = c.log.sent
-			return
+		if adopted, _ := state.Adopt(u); adopted {
+			return true
 		}
 	}
+	return false
 }
 
 // add takes an entry and returns the state of a round that it completes.
--- a/platformlog/log.go
+++ b/platformlog/log.go
@@ -24,10 +24,14 @@
 // Log is the platform's append-only log.
 type Log interface {
 	// Append adds r and returns its offset. It returns ErrUnknownOutcome when
-	// the record may or may not have been appended.
+	// the record may or may not have been appended, and ErrUnavailable when it
+	// was not.
 	Append(ctx context.Context, r Record) (int64, error)
 	// Read returns at most max entries of the stream, starting at offset from.
-	// It returns an ExpiredError when from is no longer retained.
+	// The offsets of a stream have no gaps. An empty result means that the
+	// stream holds nothing from that offset on; a result of fewer than max
+	// entries does not. Read returns an ExpiredError when from is no longer
+	// retained, and ErrUnavailable otherwise.
 	Read(ctx context.Context, stream string, from int64, max int) ([]Entry, error)
 	// Bounds returns the first retained offset and the next offset to be given.
 	Bounds(ctx context.Context, stream string) (first, next int64, err error)
