--- a/control/publisher_test.go
+++ b/control/publisher_test.go
@@ -200,4 +200,3 @@
 		t.Errorf("second proposal: %+v, %v", both, err)
 	}
 }
-
