Add simulation of keyed orders under faults; fix what it found

The simulation found that a second delivery of one request could be refused by the fence or the lease check while the first ran, which was reported as not run. Admission now comes first at the home and the host node, and a refused order is withdrawn.

--- a/once/admission.go
+++ b/once/admission.go
@@ -23,13 +23,16 @@
 // that it was not run uses a new ID.
 //
 // The table is empty after a restart and forgets IDs after the window. For IDs
-// that it may have forgotten it admits nothing and settles nothing.
+// that it may have forgotten it admits nothing and settles nothing, so a host
+// node takes orders from FutureMS + NodeSkewMS after its start.
 type Admissions struct {
-	cfg     AdmissionConfig
-	startMS int64
-	ids     map[string]bool // true if admitted, false if barred
-	buckets map[int64][]string
-	swept   int64
+	cfg AdmissionConfig
+	// forgotMS is the issue time up to which IDs may be missing although they
+	// were admitted, barred or refused.
+	forgotMS int64
+	ids      map[string]bool // true if admitted, false if barred
+	buckets  map[int64][]string
+	swept    int64
 }
 
 // admissionBucket is the granularity of expiry.
@@ -43,32 +46,40 @@
 	if cfg.MaxEntries == 0 {
 		cfg.MaxEntries = DefaultAdmissionEntries
 	}
-	return &Admissions{cfg: cfg, startMS: startMS, ids: map[string]bool{}, buckets: map[int64][]string{}}
+	return &Admissions{cfg: cfg, forgotMS: startMS + FutureMS, ids: map[string]bool{}, buckets: map[int64][]string{}}
 }
 
-// Admit registers an attempt before it is queued for a target. It returns nil
-// or the error to answer with. Only UnknownOutcome, for a repeated delivery of
-// an admitted ID, is not proof that this ID was not run.
+// Admit registers an attempt. The host node calls it before every other check
+// of the order, so that a repeated delivery is recognized whatever became of
+// the first, and calls Withdraw if a later check refuses the order. It returns
+// nil or the error to answer with. UnknownOutcome means that another delivery
+// of the ID was or may have been admitted; every other error is proof that the
+// ID was not run and will not be run.
 func (a *Admissions) Admit(now time.Duration, wallMS int64, id string) *resultcode.Error {
+	if admitted, known := a.ids[id]; known {
+		return refuseKnown(id, admitted)
+	}
 	issued, ok := IssuedMS(id)
 	if !ok || issued > wallMS+FutureMS {
 		return resultcode.New(resultcode.BadRequest, "request ID %q is not a current UUIDv7", id)
 	}
 	if !a.remembers(wallMS, issued) {
-		return resultcode.New(resultcode.Barred, "request ID %s is older than the admission window", id)
+		return resultcode.New(resultcode.UnknownOutcome, "request ID %s is older than the admission table", id)
 	}
-	admitted, known := a.ids[id]
-	switch {
-	case known && admitted:
-		return resultcode.New(resultcode.UnknownOutcome, "request ID %s was admitted before", id)
-	case known:
-		return resultcode.New(resultcode.Barred, "request ID %s is barred", id)
-	case !a.insert(now, id, true):
+	if !a.insert(now, id, true) {
+		a.forgotMS = max(a.forgotMS, issued)
 		return resultcode.New(resultcode.QueueFull, "admission table is full")
 	}
 	return nil
 }
 
+func refuseKnown(id string, admitted bool) *resultcode.Error {
+	if admitted {
+		return resultcode.New(resultcode.UnknownOutcome, "request ID %s was admitted before", id)
+	}
+	return resultcode.New(resultcode.Barred, "request ID %s is barred", id)
+}
+
 // Withdraw states that an admitted attempt was refused before anything was
 // sent to a target, and will not be sent.
 func (a *Admissions) Withdraw(id string) {
@@ -80,21 +91,22 @@
 // Settle reports whether an attempt is proven not to have run, and bars it in
 // that case. false means that the outcome is unknown.
 func (a *Admissions) Settle(now time.Duration, wallMS int64, id string) (notRun bool) {
+	if admitted, known := a.ids[id]; known {
+		return !admitted
+	}
 	issued, ok := IssuedMS(id)
 	if !ok || issued > wallMS+FutureMS || !a.remembers(wallMS, issued) {
 		return false
 	}
-	if admitted, known := a.ids[id]; known {
-		return !admitted
-	}
 	return a.insert(now, id, false)
 }
 
 // remembers reports whether the table would still hold an ID of the given
-// issue time: it was issued after this process started and in the window. An
-// ID is registered at most FutureMS before its issue time, on this host's clock.
+// issue time. An ID is registered at most FutureMS before its issue time, on
+// this host's clock. A full table forgets the ID that it refused: a second
+// delivery of it must not be admitted.
 func (a *Admissions) remembers(wallMS, issued int64) bool {
-	return issued > a.startMS+FutureMS && issued >= wallMS-a.cfg.Window.Milliseconds()+FutureMS
+	return issued > a.forgotMS && issued >= wallMS-a.cfg.Window.Milliseconds()+FutureMS
 }
 
 func (a *Admissions) insert(now time.Duration, id string, admitted bool) bool {
--- /dev/null
+++ b/once/sim_node_test.go
@@ -0,0 +1,413 @@
+package once
+
+import (
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/lease"
+	"hyssopbridge/resultcode"
+)
+
+// simNode runs the handlers of entry, home and host node. Every handler is cut
+// into tasks, one per tick, so that a pause can fall between any two.
+type simNode struct {
+	w      *world
+	index  int
+	offset time.Duration
+	rate   float64 // of the monotonic clock
+	skewMS int64   // of the wall clock
+
+	up, paused, leaving bool
+	leavingFor          int // ticks
+	member              fleet.Member
+	core                *lease.Core
+	store               *Store
+	admissions          *Admissions
+	inbox               []func(*simNode)
+	tasks               []func()
+	known               int // records of the log that the node has read
+	moved               map[moveKey]bool
+}
+
+type moveKey struct {
+	epoch int64
+	to    fleet.Member
+	index int
+	of    int64
+}
+
+// simWait is the response timeout of calls between nodes, in ticks.
+const simWait = 10
+
+// simDrainLimit is the drain limit of a leaving node, in ticks.
+const simDrainLimit = 200
+
+func nodeName(i int) string { return string(rune('a' + i)) }
+
+func nodeIndex(name string) int { return int(name[0] - 'a') }
+
+func (n *simNode) mono() time.Duration {
+	return n.offset + time.Duration(float64(n.w.now)*n.rate)
+}
+
+func (n *simNode) wall() int64 { return n.w.wall() + n.skewMS }
+
+// start begins a new process with empty memory.
+func (n *simNode) start() {
+	n.member = fleet.Member{Node: nodeName(n.index), Incarnation: n.wall() + 1}
+	n.core = lease.New(n.member)
+	n.store = New(Config{}, n.member)
+	n.admissions = NewAdmissions(AdmissionConfig{}, n.wall())
+	n.up, n.paused, n.leaving, n.leavingFor = true, false, false, 0
+	n.inbox, n.tasks, n.known = nil, nil, 0
+	n.moved = map[moveKey]bool{}
+}
+
+func (n *simNode) crash() {
+	n.up, n.paused, n.leaving = false, false, false
+	n.inbox, n.tasks = nil, nil
+}
+
+// after runs a task once the node has been running for the given ticks.
+func (n *simNode) after(ticks int, task func()) {
+	if ticks <= 1 {
+		n.tasks = append(n.tasks, task)
+		return
+	}
+	n.tasks = append(n.tasks, func() { n.after(ticks-1, task) })
+}
+
+func (n *simNode) next(task func()) { n.after(1, task) }
+
+// step continues the tasks at the point where they stopped, then handles
+// messages, then control state.
+func (n *simNode) step() {
+	tasks := n.tasks
+	n.tasks = nil
+	for _, task := range tasks {
+		task()
+	}
+	inbox := n.inbox
+	n.inbox = nil
+	for _, deliver := range inbox {
+		deliver(n)
+	}
+	n.control()
+}
+
+func (n *simNode) control() {
+	if !n.w.logDown && n.known < len(n.w.log) && n.w.rng.IntN(10) == 0 {
+		n.known = len(n.w.log)
+		n.core.SetGroups(n.mono(), n.wall(), simService, n.w.log[:n.known])
+	}
+	n.core.SetCandidates(simService, n.w.candidates())
+	out := n.core.Tick(n.mono(), n.wall())
+	for _, p := range out.Proposals {
+		n.w.appendGroup(p.Base, p.Members)
+	}
+	for _, m := range out.Messages {
+		n.sendLease(m)
+	}
+	if epoch, wall, ok := n.core.ActiveSince(simService); ok && n.known == int(epoch) {
+		n.store.Activate(simService, n.w.log[:n.known:n.known], wall)
+	}
+	n.core.Use(n.mono(), simService)
+	if n.leaving {
+		n.leavingFor++
+		n.handOver()
+	}
+}
+
+func (n *simNode) sendLease(m lease.Message) {
+	n.w.send(n.index, nodeIndex(m.To), func(to *simNode) {
+		if reply, ok := to.core.Receive(to.mono(), to.wall(), m); ok {
+			to.sendLease(reply)
+		}
+	})
+}
+
+func (w *world) candidates() []lease.Candidate {
+	var out []lease.Candidate
+	for _, n := range w.nodes {
+		k := lease.Candidate{Member: n.member, Zone: string(rune('x' + n.index%3))}
+		switch {
+		case !n.up || w.falseDead[n.index]:
+			k.Condition = lease.Dead
+		case n.leaving:
+			k.Condition = lease.Leaving
+		}
+		out = append(out, k)
+	}
+	return out
+}
+
+// enter is the entry node: it sends the order to the home in its own view.
+func (n *simNode) enter(c *call) {
+	if n.known == 0 {
+		n.w.tell(c, resultcode.NoLease, nil)
+		return
+	}
+	home, ok := lease.HomeIn(n.w.log[n.known-1].HomeGroup, c.key.Scoped())
+	if !ok {
+		return
+	}
+	to, self := nodeIndex(home.Node), n.member
+	c.requestID = n.w.uuid(n.wall())
+	n.w.send(n.index, to, func(h *simNode) { h.next(func() { h.receive(n.index, c) }) })
+	n.after(4*simWait, func() {
+		if c.done || n.member != self {
+			return
+		}
+		n.w.send(n.index, to, func(h *simNode) {
+			if h.admissions.Settle(h.mono(), h.wall(), c.requestID) {
+				h.reply(n.index, c, resultcode.NoTarget, nil)
+			}
+		})
+	})
+}
+
+// receive is the home: it registers the request like a host node does, so that
+// a repeated delivery gets no outcome of its own and the entry node can settle.
+func (n *simNode) receive(entry int, c *call) {
+	if err := n.admissions.Admit(n.mono(), n.wall(), c.requestID); err != nil {
+		if err.Ran == resultcode.RanNo {
+			n.reply(entry, c, err.Code, nil)
+		}
+		return
+	}
+	n.next(func() { n.order(entry, c) })
+}
+
+func (n *simNode) reply(entry int, c *call, code resultcode.Code, a *Answer) {
+	if code.Ran() == resultcode.RanNo {
+		n.admissions.Withdraw(c.requestID)
+	}
+	n.w.send(n.index, entry, func(*simNode) { n.w.tell(c, code, a) })
+}
+
+func request(c *call, epoch int64) Request {
+	return Request{Key: c.key, Hash: PayloadHash{c.payload}, Epoch: epoch}
+}
+
+// order is the home: it checks the lease and begins, with a pause possible in
+// between.
+func (n *simNode) order(entry int, c *call) {
+	epoch, deadline, ok := n.core.Holds(n.mono(), simService)
+	if !ok {
+		n.reply(entry, c, resultcode.NoLease, nil)
+		return
+	}
+	n.next(func() {
+		d := n.store.Begin(n.mono(), n.wall(), request(c, epoch))
+		n.decided(entry, c, d, epoch, deadline, 2*simWait)
+	})
+}
+
+func (n *simNode) decided(entry int, c *call, d Decision, epoch int64, deadline time.Duration, patience int) {
+	switch d.Action {
+	case Run:
+		n.next(func() { n.forward(entry, c, d.Attempt, epoch, deadline) })
+	case Replay:
+		n.w.replays++
+		n.reply(entry, c, resultcode.Answered, d.Answer)
+	case Refuse:
+		n.reply(entry, c, d.Code, nil)
+	case Join:
+		n.join(entry, c, patience)
+	case AskPrevious:
+		n.ask(entry, c, d.Ask, epoch)
+	}
+}
+
+func (n *simNode) join(entry int, c *call, patience int) {
+	if patience == 0 {
+		n.reply(entry, c, resultcode.StillRunning, nil)
+		return
+	}
+	n.next(func() {
+		epoch, deadline, ok := n.core.Holds(n.mono(), simService)
+		if !ok {
+			n.reply(entry, c, resultcode.NoLease, nil)
+			return
+		}
+		d := n.store.Begin(n.mono(), n.wall(), request(c, epoch))
+		n.decided(entry, c, d, epoch, deadline, patience-1)
+	})
+}
+
+func (n *simNode) ask(entry int, c *call, homes []fleet.Member, epoch int64) {
+	replies := make([]Reply, 0, len(homes))
+	for _, m := range homes {
+		n.w.send(n.index, nodeIndex(m.Node), func(p *simNode) {
+			r := p.store.Lookup(p.mono(), m, c.key, epoch)
+			p.w.send(p.index, n.index, func(*simNode) { replies = append(replies, r) })
+		})
+	}
+	n.after(simWait, func() {
+		epoch, deadline, ok := n.core.Holds(n.mono(), simService)
+		if !ok {
+			n.reply(entry, c, resultcode.NoLease, nil)
+			return
+		}
+		n.next(func() {
+			d := n.store.Resolve(n.mono(), n.wall(), request(c, epoch), replies)
+			n.decided(entry, c, d, epoch, deadline, 2*simWait)
+		})
+	})
+}
+
+// attempt is one forwarded order as the home sees it.
+type attempt struct {
+	n        *simNode
+	member   fleet.Member
+	entry    int
+	c        *call
+	number   uint32
+	id       string
+	finished bool
+}
+
+func (n *simNode) forward(entry int, c *call, number uint32, epoch int64, deadline time.Duration) {
+	remaining := deadline - n.mono()
+	a := &attempt{n: n, member: n.member, entry: entry, c: c, number: number, id: n.w.uuid(n.wall())}
+	if remaining <= 0 {
+		a.notRun(resultcode.NoLease)
+		return
+	}
+	host := n.w.rng.IntN(len(n.w.nodes))
+	n.next(func() {
+		if !n.w.nodes[host].up || n.w.cut[[2]int{n.index, host}] {
+			a.notRun(resultcode.PeerUnreachable)
+			return
+		}
+		n.w.send(n.index, host, func(h *simNode) { h.next(func() { h.host(a, epoch, remaining) }) })
+		n.after(simWait, func() { a.settle(host) })
+	})
+}
+
+// here reports whether the process that sent the attempt still runs.
+func (a *attempt) here() bool { return a.n.up && a.n.member == a.member }
+
+func (a *attempt) notRun(code resultcode.Code) {
+	if !a.here() || a.finished {
+		return
+	}
+	a.finished = true
+	if a.n.store.NotRun(a.c.key, a.number) {
+		a.n.reply(a.entry, a.c, code, nil)
+	}
+}
+
+func (a *attempt) settle(host int) {
+	if !a.here() || a.finished {
+		return
+	}
+	a.n.store.Unknown(a.c.key, a.number)
+	a.n.w.send(a.n.index, host, func(h *simNode) {
+		notRun := h.admissions.Settle(h.mono(), h.wall(), a.id)
+		h.w.send(h.index, a.n.index, func(*simNode) {
+			if notRun {
+				a.notRun(resultcode.NoTarget)
+			}
+		})
+	})
+	a.n.after(simWait, func() {
+		if a.here() && !a.finished {
+			a.n.reply(a.entry, a.c, resultcode.UnknownOutcome, nil)
+		}
+	})
+}
+
+// host is the host node: admission, fence and target, with a pause possible in
+// between.
+func (n *simNode) host(a *attempt, epoch int64, remaining time.Duration) {
+	refuse := func(code resultcode.Code) {
+		n.w.send(n.index, a.n.index, func(*simNode) { a.notRun(code) })
+	}
+	if err := n.admissions.Admit(n.mono(), n.wall(), a.id); err != nil {
+		if err.Ran == resultcode.RanNo {
+			refuse(err.Code)
+		}
+		return
+	}
+	n.next(func() {
+		_, left := LeaseLeft(n.wall(), a.id, remaining)
+		if !left || !n.core.Admits(n.mono(), simService, epoch) {
+			n.admissions.Withdraw(a.id)
+			refuse(resultcode.NoLease)
+			return
+		}
+		n.next(func() {
+			answer := n.w.run(a.c)
+			n.w.send(n.index, a.n.index, func(*simNode) { a.answered(answer) })
+		})
+	})
+}
+
+func (a *attempt) answered(answer *Answer) {
+	if !a.here() {
+		return
+	}
+	a.finished = true
+	if a.n.store.Finished(a.c.key, a.number, answer) {
+		a.n.reply(a.entry, a.c, resultcode.Answered, answer)
+	}
+}
+
+// handOver moves the records of a leaving node to the homes of the newest
+// group and ends the process when all have arrived.
+func (n *simNode) handOver() {
+	if n.leavingFor > simDrainLimit {
+		n.crash()
+		return
+	}
+	g, ok := n.core.Group(simService)
+	if !ok || n.core.Member(simService) || g.Epoch != int64(n.known) {
+		return
+	}
+	n.store.Close(simService, g.Epoch)
+	done := true
+	for _, to := range g.Members {
+		if !n.handTo(g, to) {
+			done = false
+		}
+	}
+	if done && len(n.tasks) == 0 && n.core.MayStop() {
+		n.crash()
+	}
+}
+
+func (n *simNode) handTo(g lease.Group, to fleet.Member) bool {
+	last := moveKey{epoch: g.Epoch, to: to, index: -1}
+	if n.moved[last] {
+		return true
+	}
+	batches, ok := n.store.Export(n.mono(), simService, g, to, 2, 1<<20)
+	if !ok {
+		return false
+	}
+	self := n.member
+	for _, b := range batches {
+		n.w.send(n.index, nodeIndex(to.Node), func(p *simNode) {
+			if !p.store.Import(p.mono(), b) {
+				return
+			}
+			p.w.send(p.index, n.index, func(*simNode) {
+				if n.member == self {
+					n.imported(last, b, len(batches))
+				}
+			})
+		})
+	}
+	return false
+}
+
+func (n *simNode) imported(last moveKey, b Batch, total int) {
+	n.moved[moveKey{last.epoch, last.to, b.Index, b.Series}] = true
+	for i := range total {
+		if !n.moved[moveKey{last.epoch, last.to, i, b.Series}] {
+			return
+		}
+	}
+	n.moved[last] = true
+}
--- /dev/null
+++ b/once/sim_test.go
@@ -0,0 +1,180 @@
+package once
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/resultcode"
+)
+
+// TestMain fixes the seed and the size of property tests unless they are given
+// on the command line.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "80", "rapid.nofailfile": "true",
+	} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// actions returns the random events of the simulation.
+func (w *world) actions(keys *[]Key) map[string]func(*rapid.T) {
+	node := rapid.IntRange(0, len(w.nodes)-1)
+	pick := func(t *rapid.T) *simNode { return w.nodes[node.Draw(t, "node")] }
+	send := func(t *rapid.T) {
+		key := rapid.SampledFrom(*keys).Draw(t, "key")
+		payload := byte(0)
+		if rapid.IntRange(0, 9).Draw(t, "payload") == 0 {
+			payload = 1
+		}
+		for range rapid.IntRange(1, 3).Draw(t, "entries") {
+			w.call(node.Draw(t, "entry"), key, payload)
+		}
+	}
+	return map[string]func(*rapid.T){
+		"advance": func(t *rapid.T) { w.steps(rapid.IntRange(1, 40).Draw(t, "ticks")) },
+		"tick":    func(t *rapid.T) { w.steps(rapid.IntRange(1, 6).Draw(t, "ticks")) },
+		"new key": func(t *rapid.T) {
+			*keys = append(*keys, w.newKey(rapid.IntRange(0, 3).Draw(t, "form"), rapid.IntRange(-15, 15).Draw(t, "skew")))
+			w.call(node.Draw(t, "entry"), (*keys)[len(*keys)-1], 0)
+		},
+		"send":   send,
+		"resend": send,
+		"cut": func(t *rapid.T) {
+			pair := [2]int{node.Draw(t, "from"), node.Draw(t, "to")}
+			w.cut[pair] = !w.cut[pair] && pair[0] != pair[1]
+		},
+		"heal":       func(*rapid.T) { clear(w.cut); clear(w.falseDead) },
+		"pause":      func(t *rapid.T) { n := pick(t); n.paused = n.up && !n.paused },
+		"resume":     func(*rapid.T) { w.resume() },
+		"crash":      func(t *rapid.T) { pick(t).crash() },
+		"restart":    func(t *rapid.T) { pick(t).restart() },
+		"leave":      func(t *rapid.T) { n := pick(t); n.leaving = n.up },
+		"log":        func(*rapid.T) { w.logDown = !w.logDown },
+		"false dead": func(t *rapid.T) { w.falseDead[node.Draw(t, "node")] = true },
+		"new epoch":  func(t *rapid.T) { w.newEpoch(rapid.SliceOfNDistinct(node, 1, 5, rapid.ID).Draw(t, "members")) },
+		"": func(t *rapid.T) {
+			if len(w.faults) > 0 {
+				t.Fatalf("%v", w.faults)
+			}
+		},
+	}
+}
+
+func (n *simNode) restart() {
+	if !n.up {
+		n.start()
+	}
+}
+
+func (w *world) resume() {
+	for _, n := range w.nodes {
+		n.paused = false
+	}
+}
+
+// newKey returns a UUIDv7 key, issued by a caller whose clock is off by up to
+// skew seconds, or an opaque one.
+func (w *world) newKey(form, skew int) Key {
+	value := w.uuid(w.wall() + int64(skew)*1000)
+	if form == 0 {
+		w.uuidSeq++
+		value = "order-" + strconv.FormatUint(w.uuidSeq, 10)
+	}
+	return Key{Service: simService, Customer: "c", Route: "orders", Value: value}
+}
+
+// newEpoch appends an arbitrary next group if a live member knows that the
+// current one is active, as the rule for proposals requires.
+func (w *world) newEpoch(indexes []int) {
+	allowed := w.epoch() == 0
+	for _, n := range w.nodes {
+		if epoch, _, ok := n.core.ActiveSince(simService); ok && n.up && epoch == w.epoch() {
+			allowed = true
+		}
+	}
+	if !allowed {
+		return
+	}
+	var members []fleet.Member
+	for _, i := range indexes {
+		members = append(members, w.nodes[i].member)
+	}
+	w.appendGroup(w.epoch(), members)
+}
+
+// settle ends all faults.
+func (w *world) settle() {
+	clear(w.cut)
+	clear(w.falseDead)
+	w.lossy = false
+	w.logDown = false
+	w.resume()
+	for _, n := range w.nodes {
+		n.restart()
+	}
+}
+
+// livenessTicks bounds the time after the last fault until a new order runs:
+// delayed messages, acknowledgements, the wait, ProposeAfter, and the same
+// once more for a group that names members of earlier processes.
+const livenessTicks = 600
+
+// runsNewKey reports whether a new key runs within the bound.
+func (w *world) runsNewKey() bool {
+	for range livenessTicks / 20 {
+		for _, n := range w.nodes {
+			n.restart() // a process that had been told to leave has ended
+		}
+		c := w.call(0, w.newKey(1, 0), 0)
+		w.steps(20)
+		if c.done && c.code == resultcode.Answered {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a second run of a key, a false "not run", and an answer given
+// to another order, under faults of every kind; and against a fleet that does
+// not recover.
+func TestAtMostOnce(t *testing.T) {
+	ran, replays, epochs := 0, 0, int64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "nodes"))
+		var keys []Key
+		for range 4 {
+			keys = append(keys, w.newKey(len(keys), 0))
+		}
+		if rapid.Bool().Draw(t, "warm") {
+			w.steps(100)
+		}
+		t.Repeat(w.actions(&keys))
+		w.settle()
+		alive := w.runsNewKey()
+		if len(w.faults) > 0 {
+			t.Fatalf("%v", w.faults)
+		}
+		if !alive {
+			t.Fatalf("no new order ran within %d ticks; epoch %d, last group %+v", livenessTicks, w.epoch(), w.log[len(w.log)-1])
+		}
+		ran, replays, epochs = ran+w.ran, replays+w.replays, epochs+w.epoch()
+	})
+	t.Logf("orders run %d, answers replayed %d, epochs %d", ran, replays, epochs)
+	if !t.Failed() && (ran == 0 || replays == 0 || epochs == 0) {
+		t.Error("the simulation ran no orders, replayed no answers or had no epochs")
+	}
+}
