--- a/routing/index.go
+++ b/routing/index.go
@@ -19,14 +19,20 @@
 
 // node holds the routes of one pathKey, the routes with methods first.
 type node struct {
-	hash   uint64
 	key    pathKey
 	routes []*Route
 }
 
+// entry keeps the hash beside the pointer, so that a probe that misses reads
+// the shard only.
+type entry struct {
+	hash uint64
+	node *node
+}
+
 // index maps path keys to routes. It is immutable apart from edit.
 type index struct {
-	shards [indexShards][]*node
+	shards [indexShards][]entry
 }
 
 const (
@@ -90,8 +96,13 @@
 }
 
 func (x *index) find(hash uint64, host, path string, prefix bool) *node {
-	for _, n := range x.shards[hash%indexShards] {
-		if n.hash == hash && n.key.prefix == prefix && n.key.path == path && equalHost(n.key.host, host) {
+	shard := x.shards[hash%indexShards]
+	for i := range shard {
+		if shard[i].hash != hash {
+			continue
+		}
+		n := shard[i].node
+		if n.key.prefix == prefix && n.key.path == path && equalHost(n.key.host, host) {
 			return n
 		}
 	}
@@ -119,7 +130,7 @@
 	return &edit{index: &next, owned: make(map[uint64]bool)}
 }
 
-func (e *edit) shard(hash uint64) []*node {
+func (e *edit) shard(hash uint64) []entry {
 	i := hash % indexShards
 	if !e.owned[i] {
 		e.owned[i] = true
@@ -135,15 +146,15 @@
 	key := routeKey(r)
 	hash := key.hash()
 	shard := e.shard(hash)
-	i := slices.IndexFunc(shard, func(n *node) bool { return n.key == key })
+	i := slices.IndexFunc(shard, func(e entry) bool { return e.node.key == key })
 	if i < 0 {
-		e.index.shards[hash%indexShards] = append(shard, &node{hash, key, []*Route{r}})
+		e.index.shards[hash%indexShards] = append(shard, entry{hash, &node{key, []*Route{r}}})
 		return nil
 	}
-	old := shard[i].routes
+	old := shard[i].node.routes
 	routes := append(slices.Clone(old), r)
 	slices.SortFunc(routes, compareRoutes)
-	shard[i] = &node{hash, key, routes}
+	shard[i].node = &node{key, routes}
 	return overlapping(old, r)
 }
 
@@ -151,16 +162,16 @@
 	key := routeKey(r)
 	hash := key.hash()
 	shard := e.shard(hash)
-	i := slices.IndexFunc(shard, func(n *node) bool { return n.key == key })
+	i := slices.IndexFunc(shard, func(e entry) bool { return e.node.key == key })
 	if i < 0 {
 		return
 	}
-	routes := slices.DeleteFunc(slices.Clone(shard[i].routes), func(o *Route) bool { return o == r })
+	routes := slices.DeleteFunc(slices.Clone(shard[i].node.routes), func(o *Route) bool { return o == r })
 	if len(routes) == 0 {
 		e.index.shards[hash%indexShards] = slices.Delete(shard, i, i+1)
 		return
 	}
-	shard[i] = &node{hash, key, routes}
+	shard[i].node = &node{key, routes}
 }
 
 // compareRoutes orders routes of one path: those with methods first, then by
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,221 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hyssopbridge/config/manifest"
+	"hyssopbridge/fleet"
+)
+
+var (
+	genHost    = rapid.SampledFrom([]string{"", "a.example", "b.example"})
+	genSegment = rapid.SampledFrom([]string{"a", "b", "cc", "%41", ""})
+	genMethods = rapid.SampledFrom([][]string{nil, {"GET"}, {"POST"}, {"GET", "PUT"}})
+)
+
+// genPath draws a path of few distinct segments, so that routes overlap often.
+func genPath(t *rapid.T, label string) string {
+	segments := rapid.SliceOfN(genSegment, 0, 4).Draw(t, label)
+	segments = slices.DeleteFunc(segments, func(s string) bool { return s == "" })
+	path := "/" + strings.Join(segments, "/")
+	if rapid.Bool().Draw(t, label+" slash") && path != "/" {
+		path += "/"
+	}
+	return path
+}
+
+func genManifest(t *rapid.T, mandate string) *manifest.Manifest {
+	m := &manifest.Manifest{Version: 1, Mandate: mandate, Term: 1, Holder: "h"}
+	svc := manifest.Service{Name: "svc-" + mandate}
+	for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+		path := genPath(t, "path")
+		if rapid.Bool().Draw(t, "prefix") {
+			path = strings.TrimSuffix(path, "/") + "/*"
+		}
+		svc.Routes = append(svc.Routes, manifest.Route{
+			Name:    fmt.Sprintf("r%d", i),
+			Host:    genHost.Draw(t, "host"),
+			Path:    path,
+			Methods: genMethods.Draw(t, "methods"),
+			Class:   fleet.Class(rapid.IntRange(0, 3).Draw(t, "class")),
+		})
+	}
+	m.Services = []manifest.Service{svc}
+	m.SetDefaults()
+	return m
+}
+
+// naive compares all routes that match by the documented order.
+func naive(manifests map[string]*manifest.Manifest, host, path, method string) string {
+	best, bestRank := "", ""
+	for _, m := range manifests {
+		for _, s := range m.Services {
+			for _, r := range s.Routes {
+				rank, ok := naiveRank(r, host, path, method)
+				// A greater rank wins; equal ranks go to the lesser mandate, then route.
+				id := m.Mandate + " " + s.Name + "/" + r.Name
+				if ok && (best == "" || rank > bestRank || rank == bestRank && id < best) {
+					best, bestRank = id, rank
+				}
+			}
+		}
+	}
+	_, id, _ := strings.Cut(best, " ")
+	return id
+}
+
+func naiveRank(r manifest.Route, host, path, method string) (string, bool) {
+	want := strings.ReplaceAll(r.Path, "%41", "A")
+	prefix, isPrefix := strings.CutSuffix(want, "*")
+	switch {
+	case r.Host != "" && r.Host != host,
+		isPrefix && !strings.HasPrefix(path, prefix),
+		!isPrefix && path != want,
+		r.Methods != nil && !slices.Contains(r.Methods, method):
+		return "", false
+	}
+	return fmt.Sprintf("%v %v %04d %v", r.Host != "", !isPrefix, len(prefix), r.Methods != nil), true
+}
+
+// Guards against a lookup that picks a less specific route or misses one, and
+// against With and Without giving another table than Build.
+func TestLookupMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := Empty()
+		live := map[string]*manifest.Manifest{}
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			mandate := rapid.SampledFrom([]string{"m1", "m2", "m3"}).Draw(t, "mandate")
+			if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
+				table = table.Without(mandate)
+				delete(live, mandate)
+				continue
+			}
+			m := genManifest(t, mandate)
+			before := table
+			want := before.Len()
+			table, _ = table.With(m)
+			live[mandate] = m
+			if before.Len() != want {
+				t.Fatal("With changed the table it was called on")
+			}
+		}
+		var all []*manifest.Manifest
+		for _, m := range live {
+			all = append(all, m)
+		}
+		built, _ := Build(all)
+		if built.Len() != table.Len() || built.hosted != table.hosted {
+			t.Fatalf("incremental table has %d routes, built one %d", table.Len(), built.Len())
+		}
+		for range 20 {
+			checkLookup(t, live, table, built)
+		}
+	})
+}
+
+func checkLookup(t *rapid.T, live map[string]*manifest.Manifest, tables ...*Table) {
+	host := genHost.Draw(t, "request host")
+	path, err := Normalize(genPath(t, "request path"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	method := rapid.SampledFrom([]string{"GET", "POST", "PUT", "DELETE"}).Draw(t, "method")
+	want := naive(live, host, path, method)
+	for _, table := range tables {
+		got := ""
+		r, ok := table.Lookup(strings.ToUpper(host)+":8080", path, method)
+		if ok {
+			got = r.ID
+		}
+		if got != want || ok != (want != "") {
+			t.Fatalf("%s %s%s: got %q, want %q", method, host, path, got, want)
+		}
+	}
+}
+
+func oneService(mandate, service string, routes ...manifest.Route) *manifest.Manifest {
+	m := &manifest.Manifest{Version: 1, Mandate: mandate, Term: 1, Services: []manifest.Service{{Name: service, Routes: routes}}}
+	m.SetDefaults()
+	return m
+}
+
+// Guards against a table that changes with the order in which conflicting
+// manifests arrive, and against a conflict that is not reported.
+func TestConflictIsReportedAndOrderIndependent(t *testing.T) {
+	a := oneService("a", "sa", manifest.Route{Name: "x", Path: "/p", Methods: []string{"GET"}})
+	b := oneService("b", "sb", manifest.Route{Name: "y", Path: "/p", Methods: []string{"GET", "PUT"}})
+	for _, order := range [][]*manifest.Manifest{{a, b}, {b, a}} {
+		table, err := Build(order)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			t.Errorf("Build error is %v, want a ConflictError", err)
+		}
+		if r, _ := table.Lookup("", "/p", "GET"); r == nil || r.ID != "sa/x" {
+			t.Errorf("conflicting GET goes to %v, want sa/x", r)
+		}
+		if r, _ := table.Without("a").Lookup("", "/p", "GET"); r == nil || r.ID != "sb/y" {
+			t.Errorf("GET after the withdrawal goes to %v, want sb/y", r)
+		}
+	}
+}
+
+// Guards against a bad route that takes the other routes of its manifest along.
+func TestBadRouteIsLeftOut(t *testing.T) {
+	table, err := Build([]*manifest.Manifest{oneService("a", "s",
+		manifest.Route{Name: "bad", Path: "/a/../b"},
+		manifest.Route{Name: "star", Path: "/a*b"},
+		manifest.Route{Name: "deep", Path: strings.Repeat("/a", maxPrefixDepth) + "/*"},
+		manifest.Route{Name: "good", Path: "/b"})})
+	var bad *RouteError
+	if !errors.As(err, &bad) || bad.Route != "s/bad" {
+		t.Errorf("error is %v, want a RouteError for s/bad", err)
+	}
+	if table.Len() != 1 {
+		t.Errorf("table has %d routes, want 1", table.Len())
+	}
+	if _, ok := table.Route("s", "good"); !ok {
+		t.Error("the good route is missing")
+	}
+}
+
+// Guards against a change that copies the whole table: most shards are shared.
+func TestWithSharesShards(t *testing.T) {
+	manifests := manyManifests(1000)
+	before, err := Build(manifests)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := before.With(manifests[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := 0
+	for i := range before.index.shards {
+		a, b := before.index.shards[i], after.index.shards[i]
+		if len(a) != len(b) || len(a) > 0 && &a[0] != &b[0] {
+			copied++
+		}
+	}
+	if copied > len(manifests[0].Services[0].Routes) {
+		t.Errorf("%d shards copied for %d routes", copied, len(manifests[0].Services[0].Routes))
+	}
+}
+
+// Guards against allocations on the request path.
+func TestLookupDoesNotAllocate(t *testing.T) {
+	table, _ := Build(manyManifests(1000))
+	got := testing.AllocsPerRun(100, func() {
+		if _, ok := table.Lookup("Host-7.example:443", "/s7/r1/x/y", "GET"); !ok {
+			t.Fatal("no route")
+		}
+	})
+	if got != 0 {
+		t.Errorf("%v allocations per lookup, want 0", got)
+	}
+}
