--- a/health/condemn.go
+++ b/health/condemn.go
@@ -8,8 +8,9 @@
 
 const (
 	reduceMin    = 2 * time.Second // shortest time that a reduced target stays reduced
+	freshTime    = 3 * time.Second // age of the bad requests that keep a reduced target a candidate
+	calmSpan     = 5 * time.Second // without a bad request, after which a reduced target is restored
 	restoreShare = 0.25            // of the threshold; evidence below it restores a reduced target
-	weightSpan   = 3 * time.Second // span of the requests that the severity rests on
 )
 
 // condemn marks the target unhealthy; rebalance decides whether the floor
@@ -18,7 +19,8 @@
 	t.condemned = true
 	t.ejection = ejectionState{
 		since:    now,
-		weight:   c.severity(now, t),
+		weight:   severity(t, items),
+		fresh:    true,
 		reason:   reasonFor(items),
 		evidence: c.evidenceOf(t, total, items),
 	}
@@ -29,38 +31,55 @@
 	}
 }
 
-// severity orders condemned targets: the share of bad requests times one plus
-// the slowness. Failed answers count as the highest slowness.
-func (c *Core) severity(now time.Duration, t *target) float64 {
-	bad := 0
-	for _, s := range t.bad.since(c.scratch[:0], now-weightSpan) {
-		if s.weight > 0 {
-			bad++
-		}
+// severity orders condemned targets: the share of bad requests since the first
+// one, times one plus their mean slowness. Failed answers count as the highest
+// slowness.
+func severity(t *target, items []sample) float64 {
+	if len(items) == 0 {
+		return 0
+	}
+	first := items[0].start
+	level := 0.0
+	for _, s := range items {
+		first = min(first, s.start)
+		level += float64(s.level)
 	}
-	for _, r := range t.open {
-		if c.pendingLLR(now, r) >= badLLR {
-			bad++
+	bad := float64(len(items))
+	good := 0.0
+	for i := range t.good.buf {
+		if t.good.buf[i].start >= first {
+			good++
 		}
 	}
-	good := len(t.good.since(c.scratch[:0], now-weightSpan))
-	share := (float64(bad) + 0.5) / (float64(bad+good) + 1)
-	return share * (1 + math.Max(0, t.level))
+	return bad / (bad + good) * (1 + math.Max(0, level/bad))
 }
 
 // judgeReduced restores a target that the floor kept in service once its
 // evidence is gone.
 func (c *Core) judgeReduced(now time.Duration, t *target) {
-	t.ejection.weight = c.severity(now, t)
-	calm := c.total(now, t) < restoreShare*c.tuning.Threshold
+	total := c.total(now, t)
+	items := c.items(now, t)
+	t.ejection.weight = severity(t, items)
+	t.ejection.fresh = total >= c.tuning.Threshold && recent(items, now, freshTime) >= c.tuning.MinBad
+	calm := total < restoreShare*c.tuning.Threshold || recent(items, now, calmSpan) == 0
 	if !calm || now-t.ejection.since < reduceMin {
 		return
 	}
+	t.resetEvidence()
 	t.condemned = false
-	t.crossing = false
 	c.decideAbout(now, Restore, t, "evidence is gone")
 }
 
+func recent(items []sample, now, span time.Duration) int {
+	n := 0
+	for _, s := range items {
+		if now-s.at <= span {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Core) evidenceOf(t *target, total float64, items []sample) Evidence {
 	e := Evidence{
 		Score:     total,
--- a/health/core.go
+++ b/health/core.go
@@ -113,6 +113,7 @@
 	for _, t := range c.order {
 		t.cold.onTick(now)
 		c.expireOpen(now, t)
+		c.learnDue(now, t)
 	}
 	c.updateFaults(now)
 	c.links.tick(now)
--- a/health/evidence.go
+++ b/health/evidence.go
@@ -16,6 +16,7 @@
 	start   time.Duration
 	at      time.Duration
 	weight  float32 // nats; 0 once it is explained by another fault
+	level   float32 // logarithm of the latency relative to the median of the class
 	node    uint16
 	zone    uint8
 	class   fleet.Class
--- a/health/floor.go
+++ b/health/floor.go
@@ -7,7 +7,10 @@
 
 // stayBonus keeps an ejected target ejected in favour of one of nearly the
 // same severity, whose order would change with every request.
-const stayBonus = 1.5
+const stayBonus = 1.8
+
+// staleShare ranks a reduced target without fresh evidence behind all others.
+const staleShare = 1e-3
 
 // capacity is the number of targets that may be ejected.
 func (c *Core) capacity() int {
@@ -40,6 +43,9 @@
 	if t.ejected {
 		return stayBonus * t.ejection.weight
 	}
+	if !t.ejection.fresh {
+		return staleShare * t.ejection.weight
+	}
 	return t.ejection.weight
 }
 
@@ -54,7 +60,7 @@
 		}
 	}
 	for i, t := range list {
-		if i < free && !t.ejected && t.inService() {
+		if i < free && !t.ejected && t.inService() && t.ejection.fresh {
 			c.eject(now, t)
 		}
 	}
@@ -63,7 +69,9 @@
 func (c *Core) reduce(now time.Duration, t *target) {
 	t.ejected = false
 	t.ejection.since = now
+	t.ejection.fresh = false
 	t.lastReturn = now
+	t.everEjected = max(0, t.everEjected-1)
 	t.resetEvidence()
 	c.decideAbout(now, Reduce, t, "the floor needs it in service")
 }
--- a/health/judge.go
+++ b/health/judge.go
@@ -13,8 +13,12 @@
 
 // pendingLLR is the evidence of an open request, never negative.
 func (c *Core) pendingLLR(now time.Duration, r *request) float64 {
-	age := float64(now-r.start) / failureMillis / math.Exp(c.shift)
-	return math.Max(0, c.ref.latencyLLR(r.class, age))
+	return math.Max(0, c.ref.latencyLLR(r.class, c.ageMS(now, r)))
+}
+
+// ageMS is the age of an open request in ms, corrected for a slow service.
+func (c *Core) ageMS(now time.Duration, r *request) float64 {
+	return float64(now-r.start) / nanosPerMS / math.Exp(c.shift)
 }
 
 // total is the target's score including its open requests.
@@ -105,7 +109,7 @@
 		}
 		llr := c.pendingLLR(now, r)
 		if llr >= badLLR {
-			s := c.sampleOf(now, r, OK, llr)
+			s := c.sampleOf(now, r, OK, llr, c.ageMS(now, r))
 			s.pending = true
 			out = append(out, s)
 		}
--- a/health/list.go
+++ b/health/list.go
@@ -47,7 +47,7 @@
 		since := min(time.Duration(e.SinceMS)*time.Millisecond, now)
 		t.condemned = true
 		t.cold.cold = false
-		t.ejection = ejectionState{since: since, weight: e.Weight, reason: e.Reason}
+		t.ejection = ejectionState{since: since, weight: e.Weight, fresh: true, reason: e.Reason}
 	}
 	c.rebalance(now)
 }
--- a/health/observe.go
+++ b/health/observe.go
@@ -3,14 +3,16 @@
 import (
 	"math"
 	"time"
+
+	"hyssopbridge/fleet"
 )
 
 const (
-	levelWeight   = 0.125 // of one answer in a target's slowness
-	levelMax      = 3.0   // also stands for a failed answer
-	levelMin      = -1.0
-	openLimit     = 10 * time.Minute // a request open for longer is forgotten
-	failureMillis = float64(time.Millisecond)
+	levelWeight = 0.125 // of one answer in a target's slowness
+	levelMax    = 3.0   // also stands for a failed answer
+	levelMin    = -1.0
+	openLimit   = 10 * time.Minute // a request open for longer is forgotten
+	nanosPerMS  = float64(time.Millisecond)
 )
 
 // Start notes that a request was sent. A request to an unlisted target is
@@ -61,10 +63,11 @@
 		return
 	}
 	t.shed.onAnswer()
-	ms := float64(o.Latency) / failureMillis / math.Exp(c.shift)
+	ms := float64(o.Latency) / nanosPerMS / math.Exp(c.shift)
 	llr := c.answerLLR(r, o.Outcome, ms)
-	c.learn(t, r, o.Outcome, ms)
-	s := c.sampleOf(now, r, o.Outcome, llr)
+	s := c.sampleOf(now, r, o.Outcome, llr, ms)
+	c.learnLevel(t, r, o.Outcome, ms)
+	c.learn(t, s, ms)
 	c.links.onAnswer(c, now, r, s)
 	if r.trial || t.ejected {
 		c.onTrialAnswer(now, r, s)
@@ -80,11 +83,12 @@
 	return c.ref.latencyLLR(r.class, ms)
 }
 
-func (c *Core) sampleOf(now time.Duration, r *request, o Outcome, llr float64) sample {
+func (c *Core) sampleOf(now time.Duration, r *request, o Outcome, llr, ms float64) sample {
 	return sample{
 		start:   r.start,
 		at:      now,
 		weight:  float32(llr),
+		level:   float32(c.sampleLevel(r.class, o, ms)),
 		node:    r.node,
 		zone:    r.zone,
 		class:   r.class,
@@ -112,42 +116,25 @@
 	t.bad.add(s)
 }
 
-// learn updates the reference and the target's slowness. Answers of suspect
-// targets stay out of the reference: several gray targets would otherwise
-// become the norm. While most targets are bad their answers are the norm.
-func (c *Core) learn(t *target, r *request, o Outcome, ms float64) {
-	c.learnLevel(t, r, o, ms)
-	if c.faults.held {
-		c.ref.add(r.class, o, ms)
-		return
-	}
-	if t.condemned || t.score >= gateScore || c.faults.source(r.start, r.node, r.class) {
-		return
-	}
-	if t.cold.cold && c.ref.classes[r.class].samples >= coldReference {
-		return
-	}
-	c.ref.add(r.class, o, ms)
-}
-
-// coldReference is the number of samples of a class from which the answers of
-// starting targets stay out of the reference.
-const coldReference = 200
-
 func (c *Core) learnLevel(t *target, r *request, o Outcome, ms float64) {
-	level, ok := c.ref.level(r.class, ms)
-	if !ok {
+	if !c.ref.classes[r.class].ready {
 		return
 	}
-	if o.failure() {
-		level = levelMax
-	}
+	level := c.sampleLevel(r.class, o, ms)
 	t.cold.onAnswer(level)
-	level = math.Max(levelMin, math.Min(levelMax, level))
 	t.level += levelWeight * (level + c.shift - t.level)
 	t.levelKnown = true
 }
 
+// sampleLevel bounds the slowness of an answer; failures are the slowest.
+func (c *Core) sampleLevel(class fleet.Class, o Outcome, ms float64) float64 {
+	if o.failure() {
+		return levelMax
+	}
+	level, _ := c.ref.level(class, ms)
+	return math.Max(levelMin, math.Min(levelMax, level))
+}
+
 // expireOpen forgets requests whose end was lost.
 func (c *Core) expireOpen(now time.Duration, t *target) {
 	for len(t.open) > 0 && now-t.open[0].start > openLimit {
--- a/health/returns.go
+++ b/health/returns.go
@@ -32,6 +32,7 @@
 type ejectionState struct {
 	since     time.Duration
 	weight    float64
+	fresh     bool // the evidence would condemn the target again
 	reason    string
 	evidence  Evidence
 	nextTrial time.Duration
@@ -105,7 +106,7 @@
 	}
 	e := &t.ejection
 	if s.outcome.failure() || s.weight >= badLLR {
-		c.onBadTrial(now, t, float64(s.weight))
+		c.onBadTrial(now, t, s)
 		return
 	}
 	t.score = math.Max(0, t.score+float64(s.weight))
@@ -121,9 +122,9 @@
 
 // onBadTrial ends a trial. While single requests are tried one bad answer
 // does; while work is regained the evidence is summed up.
-func (c *Core) onBadTrial(now time.Duration, t *target, llr float64) {
+func (c *Core) onBadTrial(now time.Duration, t *target, s sample) {
 	e := &t.ejection
-	t.score += llr
+	t.score += float64(s.weight)
 	if e.step > 0 && t.score < relapseShare*c.tuning.Threshold {
 		return
 	}
@@ -136,6 +137,7 @@
 	}
 	e.step = 0
 	e.passes = 0
+	e.weight = math.Max(e.weight, 1+float64(s.level))
 	t.score = 0
 	c.decideAbout(now, Relapse, t, "bad answer during the return")
 }
@@ -178,7 +180,7 @@
 			continue
 		}
 		r.failed = true
-		c.onBadTrial(now, t, llr)
+		c.onBadTrial(now, t, c.sampleOf(now, r, OK, llr, c.ageMS(now, r)))
 	}
 }
 
--- a/health/target.go
+++ b/health/target.go
@@ -20,6 +20,7 @@
 	bad         ring
 	good        ring
 	open        []*request
+	lessons     []lesson
 	lastEnd     time.Duration
 	probesOK    uint32
 	probesFail  uint32
--- a/health/tuning.go
+++ b/health/tuning.go
@@ -45,7 +45,7 @@
 	badLLR     = 1.0  // nats from which a request counts as bad
 	strongLLR  = 2.0  // nats from which a request shows a service-wide fault
 	maxScore   = 2.0  // bound of the score, in thresholds
-	gateScore  = 3.0  // nats above which a target's answers leave the reference alone
+	gateScore  = 3.0  // nats from which other explanations are looked for
 	windowSpan = 3 * time.Second
 	windowMin  = 0.1 // share of bad requests that Windowed needs
 )
--- a/replay/score.go
+++ b/replay/score.go
@@ -185,3 +185,17 @@
 }
 
 func (s *scorer) finish() *Score { return s.score }
+
+// LateShare is the largest share of offered work that a sick interval of a
+// target got after the target's second one.
+func (s *Score) LateShare() float64 {
+	seen := map[string]int{}
+	worst := 0.0
+	for _, in := range s.Intervals {
+		seen[in.Target]++
+		if seen[in.Target] > 2 && in.Offered > 0 {
+			worst = max(worst, float64(in.Delivered)/float64(in.Offered))
+		}
+	}
+	return worst
+}
