Wire the node from its parts

Cause: the thin node polled the log and its peers on its own. Change: node package on control, membership, registry, lease, once, limits, filters, loadbalancer and health; ejection lists spread between nodes; leaving nodes pass on home groups and order records.

--- a/cmd/hyssopbridge/process_test.go
+++ b/cmd/hyssopbridge/process_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"hyssopbridge/platformlog"
+	"hyssopbridge/control"
 	"hyssopbridge/platformlog/standin"
 )
 
@@ -106,8 +106,8 @@
 }
 
 func (f *fixture) publish(document string) {
-	_, err := f.log.Append(context.Background(), platformlog.Record{ID: "m1", Stream: "control", Data: []byte(document)})
-	if err != nil {
+	p := control.NewPublisher(control.PublisherConfig{Log: f.log})
+	if _, err := p.Publish(context.Background(), "test.json", []byte(document), control.HeadBase); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/control/publish.go
+++ b/control/publish.go
@@ -135,7 +135,7 @@
 	trial.snap.Version++
 	out := Outcome{ID: r.ID}
 	if r.Kind == KindHomes {
-		trial.foldHomes(r, &out)
+		trial.foldHomes(r, 0, &out)
 	} else {
 		trial.foldMandate(r, &out)
 	}
--- /dev/null
+++ b/node/budgets.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"hyssopbridge/limits"
+)
+
+// budgets holds a retry budget per service. It implements proxy.RetryBudget.
+type budgets struct {
+	clock    func() time.Duration
+	services sync.Map // service name -> *limits.RetryBudget
+}
+
+func (b *budgets) of(service string) *limits.RetryBudget {
+	if v, ok := b.services.Load(service); ok {
+		return v.(*limits.RetryBudget)
+	}
+	seed := maphash.String(maphash.MakeSeed(), service)
+	v, _ := b.services.LoadOrStore(service, limits.NewRetryBudget(seed))
+	return v.(*limits.RetryBudget)
+}
+
+// Request implements proxy.RetryBudget.
+func (b *budgets) Request(service string) { b.of(service).Request(b.clock()) }
+
+// Retry implements proxy.RetryBudget.
+func (b *budgets) Retry(service string) bool { return b.of(service).Allow(b.clock()) }
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"hyssopbridge/control"
+	"hyssopbridge/fleet"
+	"hyssopbridge/membership"
+	"hyssopbridge/peer"
+	"hyssopbridge/resultcode"
+)
+
+// Methods between nodes.
+const (
+	methodState  = "control.state"
+	methodLease  = "lease"
+	methodLookup = "once.lookup"
+	methodImport = "once.import"
+	methodSettle = "settle"
+	methodRates  = "rates"
+	methodReport = "health.report"
+	methodLists  = "health.lists"
+)
+
+const (
+	// callTimeout bounds a call between nodes unless its caller is stricter.
+	callTimeout = time.Second
+	// stateTimeout bounds the transfer of state, which may be large.
+	stateTimeout = 5 * time.Second
+	// statePartBytes bounds one part of a state transfer.
+	statePartBytes = 512 << 10
+)
+
+// errNotAnnounced refuses work for an unknown instance.
+var errNotAnnounced = resultcode.New(resultcode.NoTarget, "the instance is not announced here")
+
+// call sends a request to a live node of the view.
+func call[Req, Resp any](ctx context.Context, n *Node, node, method string, req *Req) (*Resp, error) {
+	v := n.members.View().Node(node)
+	if v == nil || v.Status >= membership.Dead {
+		return nil, fmt.Errorf("node %s is not known to be alive", node)
+	}
+	return peer.Call[Req, Resp](peer.ExpectNode(ctx, node), n.client, v.ControlAddr, method, req)
+}
+
+// progress returns what the headers between nodes carry.
+func (n *Node) progress() peer.Progress {
+	p := n.watcher.Progress()
+	return peer.Progress{ConfigVersion: n.watcher.Current().Version, LogOffset: p.Offset, LogAgeMS: p.Age.Milliseconds()}
+}
+
+func (n *Node) onHeader(from peer.Identity, h peer.Header) {
+	n.versions.note(from.Node, h.ConfigVersion, time.Now())
+	n.watcher.PeerAnnounced(from.Node, h.ConfigVersion,
+		control.Progress{Offset: h.LogOffset, Age: time.Duration(h.LogAgeMS) * time.Millisecond})
+}
+
+// stateRequest asks for one part of the state after a version.
+type stateRequest struct {
+	Since int64 `cbor:"1,keyasint"`
+	To    int64 `cbor:"2,keyasint,omitempty"` // version of the first part; 0 in the first request
+	Part  int   `cbor:"3,keyasint,omitempty"`
+}
+
+// stateAnswer holds an encoded control.Update.
+type stateAnswer struct {
+	Update []byte `cbor:"1,keyasint"`
+}
+
+// AskState implements control.Peers. A large state arrives in parts; if the
+// peer's state changes between two parts, the transfer fails and is repeated.
+func (n *Node) AskState(ctx context.Context, node string, since int64) (control.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	var parts []control.Update
+	req := stateRequest{Since: since}
+	for {
+		resp, err := call[stateRequest, stateAnswer](ctx, n, node, methodState, &req)
+		if err != nil {
+			return control.Update{}, err
+		}
+		u, err := control.DecodeUpdate(resp.Update)
+		if err != nil {
+			return control.Update{}, err
+		}
+		parts = append(parts, u)
+		if len(parts) >= u.Parts {
+			return joinParts(parts)
+		}
+		req.To, req.Part = u.To, len(parts)
+	}
+}
+
+func joinParts(parts []control.Update) (control.Update, error) {
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	return control.Join(parts)
+}
+
+func (n *Node) serveState(_ context.Context, _ peer.Identity, req *stateRequest) (*stateAnswer, error) {
+	u := n.watcher.Answer(req.Since)
+	parts := u.Split(statePartBytes)
+	if req.To != 0 && req.To != u.To || req.Part < 0 || req.Part >= len(parts) {
+		return nil, fmt.Errorf("state of version %d is no longer held", req.To)
+	}
+	data, err := control.EncodeUpdate(parts[req.Part])
+	if err != nil {
+		return nil, err
+	}
+	return &stateAnswer{Update: data}, nil
+}
+
+// settleRequest asks a host node to prove that an attempt was not run.
+type settleRequest struct {
+	Attempt string `cbor:"1,keyasint"`
+}
+
+type settleAnswer struct {
+	NotRun bool `cbor:"1,keyasint"`
+}
+
+// NotRun implements proxy.Settler.
+func (n *Node) NotRun(ctx context.Context, node fleet.Node, attempt string) bool {
+	resp, err := call[settleRequest, settleAnswer](ctx, n, node.ID, methodSettle, &settleRequest{Attempt: attempt})
+	return err == nil && resp.NotRun
+}
+
+func (n *Node) serveSettle(_ context.Context, _ peer.Identity, req *settleRequest) (*settleAnswer, error) {
+	return &settleAnswer{NotRun: n.orders.settle(req.Attempt)}, nil
+}
--- /dev/null
+++ b/node/targets.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/limits"
+	"hyssopbridge/proxy"
+	"hyssopbridge/registry"
+	"hyssopbridge/routing"
+)
+
+// localTargets is what the host handler knows of the targets beside this node.
+// It implements proxy.Targets and proxy.Admission.
+type localTargets struct {
+	byID    atomic.Pointer[map[string]proxy.Target]
+	service func(name string) (*routing.Service, bool)
+	clock   func() time.Duration
+	mu      sync.Mutex
+	slots   map[string]*limits.Slots
+}
+
+func newLocalTargets(service func(string) (*routing.Service, bool), clock func() time.Duration) *localTargets {
+	t := &localTargets{service: service, clock: clock, slots: map[string]*limits.Slots{}}
+	t.byID.Store(&map[string]proxy.Target{})
+	return t
+}
+
+// update takes the announced targets.
+func (t *localTargets) update(list []registry.Target) {
+	next := make(map[string]proxy.Target, len(list))
+	for _, a := range list {
+		next[a.ID] = proxy.Target{Instance: a.Instance, Addr: a.Address}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byID.Store(&next)
+	for id, s := range t.slots {
+		if _, ok := next[id]; !ok {
+			s.Close()
+			delete(t.slots, id)
+		}
+	}
+	for id, target := range next {
+		t.configure(id, target)
+	}
+}
+
+// reconfigure applies changed limits of the manifests.
+func (t *localTargets) reconfigure() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, target := range *t.byID.Load() {
+		t.configure(id, target)
+	}
+}
+
+func (t *localTargets) configure(id string, target proxy.Target) {
+	s := t.slots[id]
+	if s == nil {
+		s = limits.NewSlots(limits.SlotsConfig{Slots: target.Slots, Now: t.clock})
+		t.slots[id] = s
+	}
+	slots, queue := target.Slots, 2*target.Slots
+	var reserve [fleet.NumClasses]int
+	if svc, ok := t.service(target.Service); ok {
+		slots = min(slots, svc.Slots)
+		queue = svc.Queue
+		reserve = limits.ReserveFor(slots, svc.Classes)
+	}
+	s.Configure(slots, queue, reserve)
+	if target.State == fleet.Leaving || target.State == fleet.Down {
+		s.Close()
+	} else {
+		s.Open()
+	}
+}
+
+// Lookup implements proxy.Targets.
+func (t *localTargets) Lookup(id string) (proxy.Target, bool) {
+	target, ok := (*t.byID.Load())[id]
+	return target, ok
+}
+
+// Acquire implements proxy.Admission.
+func (t *localTargets) Acquire(ctx context.Context, target proxy.Target, class fleet.Class, deadline time.Time) (func(), error) {
+	t.mu.Lock()
+	s := t.slots[target.ID]
+	t.mu.Unlock()
+	if s == nil {
+		return nil, errNotAnnounced
+	}
+	ticket, err := s.Acquire(ctx, class, time.Until(deadline))
+	if err != nil {
+		return nil, err
+	}
+	return ticket.Release, nil
+}
--- /dev/null
+++ b/node/versions.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"sync"
+	"time"
+)
+
+// versions remembers the configuration version that each peer last stated.
+type versions struct {
+	mu     sync.Mutex
+	byNode map[string]peerVersion
+}
+
+type peerVersion struct {
+	version int64
+	at      time.Time
+}
+
+func (v *versions) note(node string, version int64, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.byNode == nil {
+		v.byNode = map[string]peerVersion{}
+	}
+	v.byNode[node] = peerVersion{version, at}
+}
+
+func (v *versions) of(node string) (peerVersion, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p, ok := v.byNode[node]
+	return p, ok
+}
