--- a/health/condemn.go
+++ b/health/condemn.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	reduceMin    = 2 * time.Second // shortest time that a reduced target stays reduced
-	freshTime    = 3 * time.Second // age of the bad requests that keep a reduced target a candidate
+	reduceMin    = 2 * time.Second         // shortest time that a reduced target stays reduced
+	freshTime    = 1500 * time.Millisecond // age of the bad requests that keep a reduced target a candidate
+	freshBad     = 2
 	calmSpan     = 5 * time.Second // without a bad request, after which a reduced target is restored
 	restoreShare = 0.25            // of the threshold; evidence below it restores a reduced target
 )
@@ -60,7 +61,7 @@
 	total := c.total(now, t)
 	items := c.items(now, t)
 	t.ejection.weight = severity(t, items)
-	t.ejection.fresh = total >= c.tuning.Threshold && recent(items, now, freshTime) >= c.tuning.MinBad
+	t.ejection.fresh = total >= c.tuning.Threshold && recent(items, now, freshTime) >= freshBad
 	calm := total < restoreShare*c.tuning.Threshold || recent(items, now, calmSpan) == 0
 	if !calm || now-t.ejection.since < reduceMin {
 		return
@@ -73,7 +74,7 @@
 func recent(items []sample, now, span time.Duration) int {
 	n := 0
 	for _, s := range items {
-		if now-s.at <= span {
+		if now-s.start <= span {
 			n++
 		}
 	}
--- a/health/floor.go
+++ b/health/floor.go
@@ -7,7 +7,11 @@
 
 // stayBonus keeps an ejected target ejected in favour of one of nearly the
 // same severity, whose order would change with every request.
-const stayBonus = 1.8
+const (
+	stayBonus  = 1.8
+	youngBonus = 3.0 // while the severity rests on few requests
+	youngTime  = 5 * time.Second
+)
 
 // staleShare ranks a reduced target without fresh evidence behind all others.
 const staleShare = 1e-3
@@ -41,7 +45,7 @@
 		return 0
 	}
 	if t.ejected {
-		return stayBonus * t.ejection.weight
+		return t.ejection.bonus * t.ejection.weight
 	}
 	if !t.ejection.fresh {
 		return staleShare * t.ejection.weight
@@ -53,6 +57,12 @@
 // permits and puts the others back in service with less work.
 func (c *Core) rebalance(now time.Duration) {
 	free := c.capacity()
+	for _, t := range c.order {
+		t.ejection.bonus = stayBonus
+		if now-t.ejection.since < youngTime {
+			t.ejection.bonus = youngBonus
+		}
+	}
 	list := c.condemnedByWeight()
 	for i, t := range list {
 		if i >= free && t.ejected {
--- a/health/judge.go
+++ b/health/judge.go
@@ -88,7 +88,7 @@
 		return
 	}
 	items := c.items(now, t)
-	rest := c.unexplained(t, items)
+	rest := c.unexplained(now, t, items)
 	if !c.enough(total, items, rest) {
 		return
 	}
@@ -118,24 +118,24 @@
 }
 
 // enough reports whether the unexplained evidence suffices by itself and does
-// not rest on a single node or zone.
+// not rest on a single node or zone. Shares of the total are compared: the
+// score is bounded and reduced by good answers, the bad requests are not.
 func (c *Core) enough(total float64, all, rest []sample) bool {
 	if len(rest) < c.tuning.MinBad {
 		return false
 	}
 	h := c.tuning.Threshold
-	left := total - c.weigh(all) + c.weigh(rest)
+	sum := c.weigh(rest)
+	left := total * sum / c.weigh(all)
 	if left < h {
 		return false
 	}
 	need := h * restShare
-	if c.nodesInUse() > 1 && left-c.heaviest(rest, func(s sample) int { return int(s.node) }) < need {
+	without := func(most float64) float64 { return left * (1 - most/sum) }
+	if c.nodesInUse() > 1 && without(c.heaviest(rest, nodeOf)) < need {
 		return false
 	}
-	if len(c.zones.list) > 1 && left-c.heaviest(rest, func(s sample) int { return int(s.zone) }) < need {
-		return false
-	}
-	return true
+	return len(c.zones.list) <= 1 || without(c.heaviest(rest, zoneOf)) >= need
 }
 
 func (c *Core) nodesInUse() int { return len(c.nodeZone) }
@@ -153,13 +153,13 @@
 }
 
 // heaviest is the largest evidence of one source.
-func (c *Core) heaviest(items []sample, source func(sample) int) float64 {
+func (c *Core) heaviest(items []sample, source func(*sample) int) float64 {
 	most := 0.0
 	for i := range items {
 		var own []sample
-		for _, s := range items {
-			if source(s) == source(items[i]) {
-				own = append(own, s)
+		for k := range items {
+			if source(&items[k]) == source(&items[i]) {
+				own = append(own, items[k])
 			}
 		}
 		most = max(most, c.weigh(own))
--- a/health/returns.go
+++ b/health/returns.go
@@ -32,7 +32,8 @@
 type ejectionState struct {
 	since     time.Duration
 	weight    float64
-	fresh     bool // the evidence would condemn the target again
+	bonus     float64 // of weight while ejected
+	fresh     bool    // the evidence would condemn the target again
 	reason    string
 	evidence  Evidence
 	nextTrial time.Duration
