--- a/loadbalancer/balancer.go
+++ b/loadbalancer/balancer.go
@@ -1,6 +1,7 @@
 package loadbalancer
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,14 +15,18 @@
 	Zone      string        // availability zone of this node
 	Region    string        // region of this node
 	Subset    int           // host nodes used per service in the own zone, the own region and elsewhere, each; default 32
-	Choices   int           // targets sampled per pick; default 2
+	Choices   int           // targets sampled per pick and tier; default 3
 	SlowStart time.Duration // ramp of a cold target; default 10 s
+
+	// Rand returns uniform numbers in [0, 1) and is safe for concurrent use;
+	// default rand.Float64.
+	Rand func() float64
 }
 
 // Defaults of Config.
 const (
 	DefaultSubset    = 32
-	DefaultChoices   = 2
+	DefaultChoices   = 3
 	DefaultSlowStart = 10 * time.Second
 )
 
@@ -35,6 +40,9 @@
 	if c.SlowStart <= 0 {
 		c.SlowStart = DefaultSlowStart
 	}
+	if c.Rand == nil {
+		c.Rand = rand.Float64
+	}
 }
 
 // tracked is a target's Load and the incarnation it belongs to.
--- a/loadbalancer/load.go
+++ b/loadbalancer/load.go
@@ -1,12 +1,14 @@
 package loadbalancer
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	reportValid     = time.Second // a reported load is used for this long
+	reportValid     = time.Second // reported load is used for this long after the last report
+	reportWeight    = 0.1         // weight of the newest report in the average
 	shedBackoffMin  = 50 * time.Millisecond
 	shedBackoffMax  = 2 * time.Second
 	linkBackoffMin  = 250 * time.Millisecond
@@ -23,28 +25,36 @@
 	shedUntil   atomic.Int64
 	linkFaults  atomic.Int32 // failed dials in a row
 	linkUntil   atomic.Int64
-	reported    atomic.Int64 // work at the target as told by its host node
+	others      atomic.Uint64 // average work of other nodes at the target, as float64 bits
 	reportedAt  atomic.Int64
-	ownAtReport atomic.Int64 // own outstanding requests at that time
 }
 
 // Outstanding returns the requests that this node has in flight at the target.
 func (l *Load) Outstanding() int { return int(l.outstanding.Load()) }
 
-// work estimates the requests at the target.
-func (l *Load) work(now time.Duration) int64 {
-	own := l.outstanding.Load()
+// work estimates the requests at the target: this node's own and the average
+// of the others'. A report is about as old as a request takes, so that its
+// momentary value says little about the next request; used as such it made
+// nodes avoid the same targets at the same time.
+func (l *Load) work(now time.Duration) float64 {
+	own := float64(l.outstanding.Load())
 	at := l.reportedAt.Load()
 	if at == 0 || int64(now)-at > int64(reportValid) {
 		return own
 	}
-	return max(own, l.reported.Load()+own-l.ownAtReport.Load())
+	return own + math.Float64frombits(l.others.Load())
 }
 
+// report takes in the work at the target as told by its host node. Of two
+// reports at the same moment one may be lost.
 func (l *Load) report(now time.Duration, busy int) {
-	l.reported.Store(int64(busy))
-	l.ownAtReport.Store(l.outstanding.Load())
-	l.reportedAt.Store(max(1, int64(now)))
+	others := max(0, float64(int64(busy)-l.outstanding.Load()))
+	at := l.reportedAt.Swap(max(1, int64(now)))
+	if at != 0 && int64(now)-at <= int64(reportValid) {
+		old := math.Float64frombits(l.others.Load())
+		others = old + reportWeight*(others-old)
+	}
+	l.others.Store(math.Float64bits(others))
 }
 
 func (l *Load) shedding(now time.Duration) bool { return l.shedUntil.Load() > int64(now) }
--- a/loadbalancer/pick.go
+++ b/loadbalancer/pick.go
@@ -1,7 +1,6 @@
 package loadbalancer
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -116,8 +115,8 @@
 func (s *Set) sampleTiers(now time.Duration, r Request, choices int) *member {
 	var best *member
 	for i := range s.tiers {
-		m := s.tiers[i].sample(now, r, choices)
-		if m != nil && float64(m.load.work(now)) < m.capacity {
+		m := s.tiers[i].sample(now, r, choices, s.rand)
+		if m != nil && m.load.work(now) < m.capacity {
 			return m
 		}
 		best = lighter(now, best, m)
@@ -132,10 +131,10 @@
 	if !r.Idempotent || trial == 0 {
 		return nil
 	}
-	if rand.Float64()*(trial+s.capacity) >= trial {
+	if s.rand()*(trial+s.capacity) >= trial {
 		return nil
 	}
-	m := s.trial.at(rand.Float64() * trial)
+	m := s.trial.at(s.rand() * trial)
 	if !m.usable(now, r) {
 		return nil
 	}
@@ -170,7 +169,7 @@
 // pressure is the work of m for its capacity; recent failures raise it.
 func (m *member) pressure(now time.Duration) float64 {
 	suspect := 1 + float64(m.load.failures.Load())
-	work := float64(max(0, m.load.work(now)))
+	work := m.load.work(now)
 	if suspect > 1 {
 		work++ // an idle suspect target loses against an idle one without failures
 	}
@@ -190,14 +189,14 @@
 
 // sample draws members in proportion to their weight and returns the lightest
 // usable one, or nil if the draws found none.
-func (p *pool) sample(now time.Duration, r Request, choices int) *member {
+func (p *pool) sample(now time.Duration, r Request, choices int, rand func() float64) *member {
 	if len(p.members) == 0 {
 		return nil
 	}
 	var best *member
 	total := p.total()
 	for i := 0; i < sampleTries*choices; i++ {
-		m := p.at(rand.Float64() * total)
+		m := p.at(rand() * total)
 		if m != best && m.usable(now, r) {
 			best = lighter(now, best, m)
 		}
--- a/loadbalancer/set.go
+++ b/loadbalancer/set.go
@@ -20,6 +20,7 @@
 	tiers    [numTiers]pool
 	trial    pool    // withheld targets that admit a share of idempotent requests
 	capacity float64 // sum over tiers
+	rand     func() float64
 	stats    Stats
 	byID     map[string]*member
 }
@@ -89,7 +90,7 @@
 }
 
 func (b *Balancer) build(v view, loads map[string]*tracked, now time.Duration) *Set {
-	s := &Set{service: v.service, floor: v.floor, byID: make(map[string]*member, len(v.endpoints))}
+	s := &Set{service: v.service, floor: v.floor, rand: b.cfg.Rand, byID: make(map[string]*member, len(v.endpoints))}
 	inService := make(map[string]bool)
 	var open []*member
 	for _, e := range v.endpoints {
