--- a/limits/rateentry.go
+++ b/limits/rateentry.go
@@ -155,11 +155,12 @@
 	if e.cutSince == 0 {
 		e.cutSince, e.localAt, e.local = now, now, 0
 	}
-	share := e.rate.PerSecond / float64(max(1, nodes))
-	if now-e.cutSince < lastShareTime {
-		share = max(share, min(e.rate.PerSecond, e.income.at(e.asked)))
+	share := 1 / float64(max(1, nodes))
+	if now-e.cutSince < lastShareTime && e.rate.PerSecond > 0 {
+		share = max(share, min(1, e.lastIncome()/e.rate.PerSecond))
 	}
-	e.local = min(max(1, e.rate.Burst/float64(max(1, nodes))), e.local+share*(now-e.localAt).Seconds())
+	gain := share * e.rate.PerSecond * (now - e.localAt).Seconds()
+	e.local = min(max(1, share*e.rate.Burst), e.local+gain)
 	e.localAt = now
 	if e.local < 1 {
 		return false
@@ -167,3 +168,13 @@
 	e.local--
 	return true
 }
+
+// lastIncome returns the tokens per second that the owner granted last. A
+// customer that was within its rate has some room above that.
+func (e *rateEntry) lastIncome() float64 {
+	income := e.income.at(e.asked)
+	if e.short {
+		return income
+	}
+	return 2 * income
+}
--- a/limits/ratelimiter.go
+++ b/limits/ratelimiter.go
@@ -251,7 +251,7 @@
 			s.due = append(s.due, key)
 			l.notify()
 		}
-		if now-e.used > idleAfter && !e.due && !e.pending {
+		if now-e.used > idleAfter && !e.due {
 			delete(s.entries, key)
 		}
 	}
