--- /dev/null
+++ b/limits/bench_test.go
@@ -0,0 +1,80 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+func BenchmarkSlots(b *testing.B) {
+	b.Run("free", func(b *testing.B) {
+		s := NewSlots(SlotsConfig{Slots: 5, Queue: 10})
+		b.ReportAllocs()
+		for b.Loop() {
+			t, err := s.Acquire(context.Background(), fleet.Interactive, time.Second)
+			if err != nil {
+				b.Fatal(err)
+			}
+			t.Release()
+		}
+	})
+	b.Run("contended", func(b *testing.B) {
+		s := NewSlots(SlotsConfig{Slots: 5, Queue: 1000})
+		b.ReportAllocs()
+		b.SetParallelism(4)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				if t, err := s.Acquire(context.Background(), fleet.Order, time.Minute); err == nil {
+					t.Release()
+				}
+			}
+		})
+	})
+}
+
+func BenchmarkRateAllow(b *testing.B) {
+	for _, nodes := range []int{20, 2800} {
+		var ids []string
+		for i := range nodes {
+			ids = append(ids, fmt.Sprintf("n%d", i))
+		}
+		l := NewRateLimiter(RateConfig{Node: "n0"})
+		l.SetNodes(ids)
+		var keys []RateKey
+		for i := range 2048 {
+			keys = append(keys, NewRateKey("s/r", fmt.Sprint(i)))
+		}
+		b.Run(fmt.Sprintf("known/nodes=%d", nodes), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				l.Allow(time.Duration(i)*time.Microsecond, keys[i%len(keys)], Rate{1e6, 1e6})
+			}
+		})
+		b.Run(fmt.Sprintf("new/nodes=%d", nodes), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				l.Allow(time.Duration(i)*time.Microsecond, RateKey(mix(uint64(i))), Rate{10, 10})
+			}
+		})
+	}
+}
+
+func BenchmarkRetryBudget(b *testing.B) {
+	budget := NewRetryBudget(1)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		budget.Request(time.Duration(i) * time.Microsecond)
+	}
+}
+
+func BenchmarkProgressNote(b *testing.B) {
+	var gaps Gaps
+	p := NewProgress(&gaps, fleet.Download, time.Second, 0)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p.Note(time.Duration(i), 1)
+	}
+}
--- /dev/null
+++ b/limits/budget_test.go
@@ -0,0 +1,119 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// retryLoad is the work that a service with failures receives, relative to the
+// requests of callers, and the share of requests that succeed.
+type retryLoad struct {
+	load, success float64
+}
+
+// attempt sends a request to the service, which fails with probability
+// failing, and retries while allowed.
+func attempt(r *rand.Rand, failing float64, attempts int, allow func() bool) (sent int, ok bool) {
+	for {
+		sent++
+		if r.Float64() >= failing {
+			return sent, true
+		}
+		if sent == attempts || !allow() {
+			return sent, false
+		}
+	}
+}
+
+// simulateRetries runs 20 entry nodes for 60 s. With hops, the host node
+// retries as well, with a budget of its own, which the fleet does not do.
+func simulateRetries(perNode, failing float64, budgeted, hops bool) retryLoad {
+	const nodes, attempts, seconds = 20, 3, 60
+	r := rand.New(rand.NewPCG(3, 5))
+	var entry, host [nodes]*RetryBudget
+	for i := range nodes {
+		entry[i], host[i] = NewRetryBudget(uint64(i)), NewRetryBudget(uint64(100+i))
+	}
+	allow := func(b *RetryBudget, now time.Duration) func() bool {
+		return func() bool { return !budgeted || b.Allow(now) }
+	}
+	requests, sent, succeeded := 0, 0, 0
+	for now := time.Duration(0); now < seconds*time.Second; now += 10 * time.Millisecond {
+		for n := range nodes {
+			if r.Float64() >= perNode/100 {
+				continue
+			}
+			requests++
+			entry[n].Request(now)
+			for a := range attempts {
+				atHost := 1
+				if hops {
+					host[n].Request(now)
+					atHost = attempts
+				}
+				tries, ok := attempt(r, failing, atHost, allow(host[n], now))
+				sent += tries
+				if ok {
+					succeeded++
+					break
+				}
+				if a == attempts-1 || !allow(entry[n], now)() {
+					break
+				}
+			}
+		}
+	}
+	return retryLoad{float64(sent) / float64(requests), float64(succeeded) / float64(requests)}
+}
+
+// Guards against retries that add more than a tenth to the load of a failing
+// service, whatever the traffic of a single node. Run with -v for the figures
+// in docs/measurements/requests.md.
+func TestRetryLoadOfFleet(t *testing.T) {
+	for _, perNode := range []float64{0.1, 1, 50} {
+		for _, failing := range []float64{0.05, 0.5, 1} {
+			got := simulateRetries(perNode, failing, true, false)
+			free := simulateRetries(perNode, failing, false, false)
+			both := simulateRetries(perNode, failing, true, true)
+			freeBoth := simulateRetries(perNode, failing, false, true)
+			t.Logf("%.1f requests/s per node, %.2f failing: load %.3f success %.3f; at both hops %.3f; without budget %.3f, at both hops %.3f",
+				perNode, failing, got.load, got.success, both.load, free.load, freeBoth.load)
+			if limit := 1 + retryShare*1.25; got.load > limit {
+				t.Errorf("load %.3f of the callers' requests, want at most %.3f", got.load, limit)
+			}
+			if failing < 1 && perNode >= 1 && got.load < 1.03 {
+				t.Errorf("load %.3f: retries were not made", got.load)
+			}
+		}
+	}
+}
+
+// Guards against a budget that exceeds its share over the window by more than
+// the rounding of one retry.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRetryBudget(rapid.Uint64().Draw(t, "seed"))
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				b.Request(now)
+			}
+			requests, before := b.Used(now)
+			granted := b.Allow(now)
+			_, after := b.Used(now)
+			if granted != (after == before+1) {
+				t.Fatalf("granted %v, retries went from %d to %d", granted, before, after)
+			}
+			if granted && float64(after) > retryShare*float64(requests)+1 {
+				t.Fatalf("%d retries for %d requests", after, requests)
+			}
+			if !granted && float64(before+1) <= retryShare*float64(requests) {
+				t.Fatalf("refused with %d retries for %d requests", before, requests)
+			}
+		}
+	})
+}
