--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -30,6 +30,7 @@
 	messages  int
 	bytes     int
 	maxSize   int
+	archive   []packet // of old packets to repeat, up to its capacity
 	onDeliver func(c *Core)
 }
 
@@ -105,6 +106,9 @@
 			n.queue = append(n.queue, p)
 			continue
 		}
+		if n.archive != nil && len(n.archive) < cap(n.archive) {
+			n.archive = append(n.archive, p)
+		}
 		c := n.cores[p.to]
 		if c == nil || n.cut[[2]string{p.from, p.to}] || n.paused[p.to] {
 			continue
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -270,19 +270,42 @@
 	})
 }
 
-// tickDeadAddress tries the address of one dead node.
+// tickDeadAddress tries the address of one dead node, or a seed address where
+// no live node is known: parts of the fleet that started apart have no dead
+// nodes in common.
 func (c *Core) tickDeadAddress(now time.Duration) []Outgoing {
 	if now < c.nextDead {
 		return nil
 	}
 	first := c.nextDead == 0
 	c.nextDead = now + c.cfg.DeadProbeInterval/2 + c.jitter(c.cfg.DeadProbeInterval)
-	if first || len(c.addresses) == 0 {
+	seeds := c.silentSeeds()
+	if first || len(c.addresses)+len(seeds) == 0 {
 		return nil
 	}
-	a := c.addresses[c.rng.IntN(len(c.addresses))]
+	i := c.rng.IntN(len(c.addresses) + len(seeds))
+	a := deadAddress{}
+	if i < len(c.addresses) {
+		a = c.addresses[i]
+	} else {
+		a.addr = seeds[i-len(c.addresses)]
+	}
 	c.number++
 	return []Outgoing{c.direct(a.id, a.addr, &Message{
 		Kind: Ping, Number: c.number, Updates: c.piggyback(now, a.id),
 	})}
 }
+
+// silentSeeds returns the seed addresses of no known live node.
+func (c *Core) silentSeeds() []string {
+	var list []string
+	for _, s := range c.cfg.Seeds {
+		known := s == c.self.node.ControlAddr || slices.ContainsFunc(c.peers, func(id string) bool {
+			return c.members[id].node.ControlAddr == s
+		})
+		if !known {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/peer/rate.go
+++ b/peer/rate.go
@@ -45,11 +45,14 @@
 	return false
 }
 
-// penalize refuses messages of key for PenaltyTime.
+// penalize refuses messages of key for PenaltyTime. Messages refused during a
+// penalty do not prolong it, or a sender that retries would never get through.
 func (s *senders) penalize(key string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entry(key, now).penalized = now.Add(PenaltyTime)
+	if e := s.entry(key, now); !now.Before(e.penalized) {
+		e.penalized = now.Add(PenaltyTime)
+	}
 }
 
 func (s *senders) entry(key string, now time.Time) *sender {
