Add the demo; run decision cores behind reports

Cause: a request whose end was reported in the next batch looked slow for up to 100 ms, and the arbiter took all targets for slow at once. Change: reports carry the age of each event; an arbiter orders events by time and runs 150 ms behind. The embedded demo counts what its callers and targets see. A leaving node does not wait for groups of withdrawn services.

--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -3,33 +3,79 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
 
 	"hyssopbridge/config/static"
+	"hyssopbridge/demo"
 	"hyssopbridge/node"
 )
 
+// Exit codes.
 const (
+	exitOK    = 0
 	exitError = 1
 	exitUsage = 2
 )
 
-func main() {
-	if len(os.Args) < 2 || os.Args[1] != "node" {
-		fmt.Fprintln(os.Stderr, "usage: hyssopbridge node -settings FILE")
-		os.Exit(exitUsage)
+const usage = `usage:
+  hyssopbridge node -settings FILE    run one node
+  hyssopbridge demo [-for DURATION]   run an embedded fleet with traffic and faults
+
+exit codes: 0 done, 1 error or broken promise, 2 wrong command line
+`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "node":
+		return runNode(args[1:])
+	case "demo":
+		return runDemo(args[1:])
+	case "-h", "-help", "--help", "help":
+		fmt.Print(usage)
+		return exitOK
+	}
+	fmt.Fprintf(os.Stderr, "hyssopbridge: unknown command %q\n%s", args[0], usage)
+	return exitUsage
+}
+
+// parse reads flags; code is the exit code when done is set.
+func parse(fs *flag.FlagSet, args []string) (code int, done bool) {
+	switch err := fs.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK, true
+	case err != nil:
+		return exitUsage, true
 	}
-	os.Exit(runNode(os.Args[2:]))
+	if fs.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "hyssopbridge %s: unexpected argument %q\n", fs.Name(), fs.Arg(0))
+		return exitUsage, true
+	}
+	return 0, false
 }
 
 func runNode(args []string) int {
 	fs := flag.NewFlagSet("node", flag.ContinueOnError)
-	file := fs.String("settings", "", "settings `FILE`, JSON with comments")
-	if err := fs.Parse(args); err != nil || *file == "" {
+	file := fs.String("settings", "", "settings `FILE`, JSON with comments (required)")
+	if code, done := parse(fs, args); done {
+		return code
+	}
+	if *file == "" {
+		fmt.Fprintln(os.Stderr, "hyssopbridge node: -settings is required")
 		return exitUsage
 	}
 	s, err := static.Load(*file)
@@ -37,16 +83,57 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitError
 	}
+	log.SetHandler(text.New(os.Stderr))
+	log.SetLevelFromString(s.LogLevel)
+	return serve(s)
+}
+
+// serve runs the node until SIGINT or SIGTERM. A second signal ends it at once.
+func serve(s *static.Settings) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	n := node.New(s)
 	if err := n.Start(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		log.WithError(err).Error("start")
 		return exitError
 	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), s.DrainLimit.Std())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if err := n.Stop(ctx); err != nil {
+		log.WithError(err).Error("requests were still in flight at the drain limit")
+		return exitError
+	}
+	return exitOK
+}
+
+const defaultDemo = 40 * time.Second
+
+func runDemo(args []string) int {
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	length := fs.Duration("for", defaultDemo, "`DURATION` of the traffic, at least "+demo.MinDuration.String())
+	verbose := fs.Bool("v", false, "print the nodes' log to standard error")
+	if code, done := parse(fs, args); done {
+		return code
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.Background(), s.DrainLimit.Std())
-	defer cancel()
-	n.Stop(drain)
-	return 0
+	var logger log.Interface
+	if *verbose {
+		logger = &log.Logger{Handler: text.New(os.Stderr), Level: log.InfoLevel}
+	}
+	r, err := demo.Run(ctx, *length, os.Stdout, logger)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hyssopbridge demo:", err)
+		return exitError
+	}
+	r.Print(os.Stdout)
+	if len(r.Broken()) > 0 {
+		return exitError
+	}
+	return exitOK
 }
--- a/demo/target.go
+++ b/demo/target.go
@@ -28,19 +28,18 @@
 
 // target is a stand-in for an instance of a service.
 type target struct {
-	id, service  string
-	announceURL  string
-	server       *http.Server
-	listener     net.Listener
-	leaving      atomic.Bool
-	gray         atomic.Bool
-	cancel       context.CancelFunc
-	grayRequests atomic.Int64 // requests that arrived while gray
-	lastGrayWork atomic.Int64 // Unix ns of the newest of them that was not trial work
-	lateWork     atomic.Int64 // requests that arrived well after it began to leave
-	leftAt       atomic.Int64 // Unix ns at which it began to leave
-	mu           sync.Mutex
-	runs         map[string]int // order number -> times run
+	id, service string
+	announceURL string
+	server      *http.Server
+	listener    net.Listener
+	leaving     atomic.Bool
+	gray        atomic.Bool
+	cancel      context.CancelFunc
+	arrivals    arrivals
+	lateWork    atomic.Int64 // requests that arrived well after it began to leave
+	leftAt      atomic.Int64 // Unix ns at which it began to leave
+	mu          sync.Mutex
+	runs        map[string]int // order number -> times run
 }
 
 func startTarget(id, service, announceAddr string) (*target, error) {
@@ -54,7 +53,7 @@
 	mux.HandleFunc("GET /status/{nonce}", t.status)
 	mux.HandleFunc("POST /orders/{number}", t.order)
 	mux.HandleFunc("GET /check", t.check)
-	mux.HandleFunc("GET /bundles/{name}", t.bundle)
+	mux.HandleFunc("GET /bundles/{name}", t.bundle) // also HEAD
 	t.server = &http.Server{Handler: t.count(mux)}
 	go func() { _ = t.server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,12 +128,9 @@
 
 func (t *target) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		now := time.Now().UnixNano()
-		if t.gray.Load() {
-			t.grayRequests.Add(1)
-			t.lastGrayWork.Store(now)
-		}
-		if left := t.leftAt.Load(); left != 0 && now-left > int64(leaveBound) {
+		now := time.Now()
+		t.arrivals.add(now)
+		if left := t.leftAt.Load(); left != 0 && now.UnixNano()-left > int64(leaveBound) {
 			t.lateWork.Add(1)
 		}
 		next.ServeHTTP(w, r)
--- a/node/detect.go
+++ b/node/detect.go
@@ -19,6 +19,14 @@
 	targetRefresh = 500 * time.Millisecond
 	// arbiterIdle is how long a core is kept after this node lost the lease.
 	arbiterIdle = 10 * time.Second
+	// evidenceDelay is how far the decision cores run behind the clock. Reports
+	// of several nodes arrive at different times; without the delay a request
+	// that had ended, but whose end was not reported yet, looked slow.
+	evidenceDelay = reportInterval + 50*time.Millisecond
+	// maxEventAge bounds the age that a report may state.
+	maxEventAge = time.Second
+	// maxWaiting bounds the events that wait in one arbiter.
+	maxWaiting = 1 << 16
 	// maxReportEvents bounds one report.
 	maxReportEvents = 4096
 )
@@ -51,6 +59,7 @@
 	nodeIDs   map[string]uint64 // base of request IDs by node, so that IDs do not collide
 	heldAt    time.Duration     // when the lease was last held
 	targetsAt time.Duration
+	waiting   eventQueue
 }
 
 func newDetector(n *Node) *detector {
@@ -110,14 +119,14 @@
 	now := d.n.clock()
 	base := a.base(node)
 	for i := range r.Events {
-		a.observe(now, node, r.Zone, base, &r.Events[i])
+		a.waiting.add(now, queuedEvent{node: node, zone: r.Zone, base: base, event: r.Events[i]})
 	}
 }
 
 // arbiter returns the core of a service. A new epoch, or a changed floor or
 // preference, starts from the list in force.
 func (d *detector) arbiter(service string, prefer manifest.Preference, floor int, epoch int64) *arbiter {
-	now := d.n.clock()
+	now := d.n.coreClock()
 	a := d.arbiters[service]
 	if a != nil && a.epoch == epoch && a.floor == floor && a.prefer == prefer {
 		a.heldAt = now
@@ -148,11 +157,26 @@
 	return base
 }
 
-func (a *arbiter) observe(now time.Duration, node, zone string, base uint64, e *event) {
-	id := base | e.ID&(1<<48-1)
+// coreClock is the time up to which the decision cores have run.
+func (n *Node) coreClock() time.Duration { return n.clock() - evidenceDelay }
+
+// advance feeds the events up to now to the core, in order of their times.
+func (a *arbiter) advance(now time.Duration) {
+	for {
+		q, ok := a.waiting.next(now)
+		if !ok {
+			return
+		}
+		a.observe(&q)
+	}
+}
+
+func (a *arbiter) observe(q *queuedEvent) {
+	e, now := &q.event, q.at
+	id := q.base | e.ID&(1<<48-1)
 	switch e.Kind {
 	case eventStart:
-		a.core.Start(now, health.Started{ID: id, Node: node, Zone: zone, Target: e.Target, Class: e.Class, Idempotent: e.Idempotent})
+		a.core.Start(now, health.Started{ID: id, Node: q.node, Zone: q.zone, Target: e.Target, Class: e.Class, Idempotent: e.Idempotent})
 	case eventEnd:
 		if e.Neutral {
 			a.core.Cancel(id)
@@ -182,7 +206,7 @@
 func (d *detector) step() []*fleet.EjectionList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.n.clock()
+	now := d.n.coreClock()
 	var changed []*fleet.EjectionList
 	for service, a := range d.arbiters {
 		l, held := d.n.orders.peekLease(service)
@@ -197,6 +221,7 @@
 			a.targetsAt = now
 			a.core.SetTargets(now, d.n.healthTargets(service))
 		}
+		a.advance(now)
 		a.core.Tick(now)
 		d.logDecisions(service, a)
 		if list := a.changedList(service); list != nil {
--- a/node/handover.go
+++ b/node/handover.go
@@ -37,7 +37,8 @@
 	pending := o.leases.Pending()
 	o.mu.Unlock()
 	for _, service := range pending {
-		if o.n.othersRun(service) {
+		_, live := o.n.routes.service(service)
+		if live && o.n.othersRun(service) {
 			return false
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 // New returns a node that is not started.
 func New(s *static.Settings, options ...Option) *Node {
 	n := &Node{settings: s, start: time.Now(), logger: log.Log, done: make(chan struct{}), observer: &observer{}}
+	n.observer.clock = n.clock
 	for _, o := range options {
 		o(n)
 	}
--- a/node/observe.go
+++ b/node/observe.go
@@ -37,6 +37,7 @@
 	Outcome    health.Outcome // eventEnd
 	LatencyUS  int64          // eventEnd, µs
 	Neutral    bool           // eventEnd: the outcome says nothing about the target
+	AgeUS      int64          // time from the event to its report, µs
 }
 
 // observer collects what the entry handler sees. It implements proxy.Observer.
@@ -44,8 +45,9 @@
 	finished func(*proxy.Result)
 	lastID   atomic.Uint64
 	dropped  atomic.Int64
+	clock    func() time.Duration
 	mu       sync.Mutex
-	pending  map[string][]event // by service
+	pending  map[string][]event // by service; AgeUS holds the time of the event
 	count    int
 }
 
@@ -104,6 +106,7 @@
 	if o.pending == nil {
 		o.pending = map[string][]event{}
 	}
+	e.AgeUS = o.clock().Microseconds()
 	o.pending[service] = append(o.pending[service], e)
 	o.count++
 }
@@ -111,8 +114,14 @@
 // take returns the events since the last call.
 func (o *observer) take() map[string][]event {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	out := o.pending
 	o.pending, o.count = nil, 0
+	now := o.clock().Microseconds()
+	o.mu.Unlock()
+	for _, events := range out {
+		for i := range events {
+			events[i].AgeUS = now - events[i].AgeUS
+		}
+	}
 	return out
 }
