Flag a class or node only where others get good answers later

Cause: the commonest class shows bad answers first, so several gray targets looked like a bad route for a second. Change: a target counts as bad for a class or node only if another class or node got a good answer to a later request; trials are retried after 1 s, then less often; a bad trial after four good ones counts as a repeat.

--- a/health/faults.go
+++ b/health/faults.go
@@ -109,20 +109,53 @@
 	}
 }
 
-func (c *Core) tallyTarget(now time.Duration, t *target, nodes, classes []tally) {
-	note := func(s *sample, mark uint8) {
-		nodes[s.node].note(mark)
-		classes[s.class].note(mark)
+// newest holds the newest good answers of two different sources.
+type newest struct {
+	id     int
+	first  time.Duration // of source id
+	second time.Duration // of any other source
+}
+
+func (n *newest) add(id int, at time.Duration) {
+	switch {
+	case id == n.id && at > n.first:
+		n.first = at
+	case id != n.id && at > n.first:
+		n.id, n.first, n.second = id, at, n.first
+	case id != n.id && at > n.second:
+		n.second = at
 	}
+}
+
+// others is the newest good answer of a source other than id.
+func (n *newest) others(id int) time.Duration {
+	if id == n.id {
+		return n.second
+	}
+	return n.first
+}
+
+// tallyTarget notes the target for the nodes and classes that use it. It is bad
+// for one of them only if another one got a good answer to a later request:
+// otherwise the target itself may be bad.
+func (c *Core) tallyTarget(now time.Duration, t *target, nodes, classes []tally) {
+	byNode, byClass := newest{id: -1}, newest{id: -1}
 	for _, s := range t.good.since(c.scratch[:0], now-faultWindow) {
-		note(s, 1)
+		nodes[s.node].note(1)
+		classes[s.class].note(1)
+		byNode.add(int(s.node), s.start)
+		byClass.add(int(s.class), s.start)
+	}
+	note := func(s *sample) {
+		nodes[s.node].note(badMark(byNode.others(int(s.node)), s.start))
+		classes[s.class].note(badMark(byClass.others(int(s.class)), s.start))
 	}
 	for _, s := range t.bad.since(c.scratch[:0], now-faultWindow) {
-		note(s, 2)
+		note(s)
 	}
 	for _, r := range t.open {
 		if c.pendingLLR(now, r) >= badLLR {
-			note(&sample{node: r.node, class: r.class}, 2)
+			note(&sample{start: r.start, node: r.node, class: r.class})
 		}
 	}
 	for i := range nodes {
@@ -133,6 +166,13 @@
 	}
 }
 
+func badMark(goodElsewhere, bad time.Duration) uint8 {
+	if goodElsewhere > bad {
+		return 2
+	}
+	return 1
+}
+
 // faulty returns which sources are bad at most of their targets while the
 // other sources are not.
 func faulty(sources []tally) []bool {
@@ -180,7 +220,7 @@
 		if strong && !t.ejected {
 			burst++
 		}
-		if t.ejected || strong || c.total(now, t) >= c.tuning.Threshold/3 {
+		if t.ejected || c.total(now, t) >= c.tuning.Threshold/2 {
 			bad++
 		}
 	}
--- a/health/returns.go
+++ b/health/returns.go
@@ -12,8 +12,10 @@
 	waitMin      = 2 * time.Second  // from the first ejection to the first trial request
 	waitMax      = 60 * time.Second // backoff bound
 	waitGrowth   = 4                // per repeated ejection
-	retryMin     = 2500 * time.Millisecond
-	retryMax     = 10 * time.Second
+	retryMin     = time.Second      // between trials after a bad one
+	retryMax     = 5 * time.Second
+	retryGrowth  = 1.6
+	flapPasses   = 4 // good trials before a bad one that make it a repeat
 	trialSpacing = 150 * time.Millisecond
 	trialPasses  = 5               // good trial requests before the first step, per repeat
 	maxRepeats   = 6               // bounds passes and step lengths
@@ -38,6 +40,7 @@
 	evidence  Evidence
 	nextTrial time.Duration
 	passes    int
+	fails     int // bad trials in a row
 	step      int // 0 while single requests are tried, else index+1 in steps
 	stepEnd   time.Duration
 	goods     int // in this step
@@ -51,6 +54,7 @@
 	t.ejected = true
 	t.resetEvidence()
 	t.ejection.step = 0
+	t.ejection.fails = 0
 	t.ejection.passes = 0
 	t.ejection.nextTrial = now + c.jitter(t, backoff(waitMin, waitMax, t.everEjected))
 	c.decideAbout(now, Eject, t, t.ejection.reason)
@@ -116,6 +120,7 @@
 		return
 	}
 	e.passes++
+	e.fails = 0
 	if e.passes >= trialPasses*t.repeats() {
 		c.enterStep(now, t, 1)
 	}
@@ -129,12 +134,12 @@
 	if e.step > 0 && t.score < relapseShare*c.tuning.Threshold {
 		return
 	}
-	if e.step > 0 {
+	if e.step > 0 || e.passes >= flapPasses {
 		t.everEjected++
 		e.nextTrial = now + c.jitter(t, backoff(waitMin, waitMax, t.everEjected))
 	} else {
-		retry := min(retryMin*time.Duration(t.repeats()), retryMax)
-		e.nextTrial = now + c.jitter(t, retry)
+		e.nextTrial = now + c.jitter(t, t.retry())
+		e.fails++
 	}
 	e.step = 0
 	e.passes = 0
@@ -143,6 +148,13 @@
 	c.decideAbout(now, Relapse, t, "bad answer during the return")
 }
 
+// retry is the wait after a bad trial. It grows while trials stay bad, so that
+// a target that recovers soon is noticed and a dead one costs few requests.
+func (t *target) retry() time.Duration {
+	d := float64(retryMin) * math.Pow(retryGrowth, float64(t.ejection.fails+t.repeats()-1))
+	return time.Duration(math.Min(d, float64(retryMax)))
+}
+
 func (c *Core) enterStep(now time.Duration, t *target, step int) {
 	e := &t.ejection
 	e.step = step
