--- a/demo/arrivals.go
+++ b/demo/arrivals.go
@@ -31,7 +31,7 @@
 }
 
 const (
-	rateWindow = time.Second
+	rateWindow = 400 * time.Millisecond
 	// ejectedShare is the part of its usual work below which a target counts as
 	// ejected. Trial work of a returning target stays below it.
 	ejectedShare = 0.3
@@ -41,7 +41,7 @@
 // detection returns the time from `from` until the target received less than
 // ejectedShare of its usual work; ok is false if that did not happen before to.
 func (a *arrivals) detection(from, to time.Time) (took time.Duration, ok bool) {
-	usual := float64(a.between(from.Add(-2*rateWindow), from)) / 2
+	usual := float64(a.between(from.Add(-5*rateWindow), from)) / 5
 	for t := from; !t.Add(rateWindow).After(to); t = t.Add(rateStep) {
 		if float64(a.between(t, t.Add(rateWindow))) < ejectedShare*usual {
 			return t.Sub(from), true
--- a/demo/target.go
+++ b/demo/target.go
@@ -19,8 +19,8 @@
 	announceInterval = 500 * time.Millisecond
 	targetSlots      = 5
 	targetConns      = 300
-	workTime         = 4 * time.Millisecond // mean time of a small request
-	graySlowdown     = 15                   // factor on workTime while gray
+	workTime         = 20 * time.Millisecond // mean time of a small request
+	graySlowdown     = 8                     // factor on workTime while gray
 	bundleBytes      = 1 << 20
 	bundlePieces     = 64
 	bundlePause      = 30 * time.Millisecond // between pieces of a bundle
