Make answers of peers that are not newer unambiguous

The state machine test (20,000 checks) found a node whose state of version 11 was empty: the answer 'not newer' had From 0 and no items, and a host that was replaced while the answer was under way took it for a full state. Such an answer now has From equal to To and is never adopted by a node of a lower version.

A checkpoint writer whose append answers are lost appended its first part for ever; it now takes a part that it sees in the log for done.

--- a/control/adopt.go
+++ b/control/adopt.go
@@ -11,15 +11,15 @@
 	if u.To <= s.snap.Version {
 		return false, nil
 	}
+	if u.From > s.snap.Version {
+		return false, &NotContiguousError{Version: s.snap.Version, From: u.From}
+	}
 	if err := u.check(); err != nil {
 		return false, err
 	}
 	if u.Parts != 1 {
 		return false, fmt.Errorf("%w: part %d of %d", ErrBadUpdate, u.Part, u.Parts)
 	}
-	if u.From > s.snap.Version {
-		return false, &NotContiguousError{Version: s.snap.Version, From: u.From}
-	}
 	next, err := s.snap.merge(&u)
 	if err != nil {
 		return false, err
@@ -92,7 +92,7 @@
 
 // check reports whether the update or part is within the bounds.
 func (u *Update) check() error {
-	if u.From < 0 || u.To <= u.From {
+	if u.From < 0 || u.To < u.From {
 		return fmt.Errorf("%w: from version %d to %d", ErrBadUpdate, u.From, u.To)
 	}
 	if u.Parts < 1 || u.Parts > MaxParts || u.Part < 0 || u.Part >= u.Parts {
--- a/control/checkpointer.go
+++ b/control/checkpointer.go
@@ -15,10 +15,27 @@
 	parts   []Update // parts still to append; the first is being appended
 	through int64
 	busy    bool      // an append is outstanding
+	sent    string    // record ID of the last append
 	wait    time.Time // no append before this time, after a failure
 	began   time.Time
 }
 
+// seen notes a part in the log. A part of the own round is done, even if the
+// answer to its append was lost.
+func (k *checkpointer) seen(id string, at time.Time) {
+	k.other = at
+	k.done(id)
+}
+
+// done removes the part with a record ID if it is the next one.
+func (k *checkpointer) done(id string) {
+	if len(k.parts) > 0 && id == k.partID() {
+		k.parts = k.parts[1:]
+	}
+}
+
+func (k *checkpointer) partID() string { return fmt.Sprintf("%s/%d", k.round, k.parts[0].Part) }
+
 // checkpoint begins a round when one is due, and appends its parts.
 func (c *Controller) checkpoint(now time.Time) {
 	c.lookAtBounds(now)
@@ -91,14 +108,14 @@
 	part := k.parts[0]
 	rec, err := EncodeRecord(&Record{
 		Kind:       KindCheckpoint,
-		ID:         fmt.Sprintf("%s/%d", k.round, part.Part),
+		ID:         k.partID(),
 		Checkpoint: &Checkpoint{Round: k.round, Part: part},
 	})
 	if err != nil {
 		k.parts = nil
 		return
 	}
-	k.busy = true
+	k.busy, k.sent = true, rec.ID
 	c.out.Append = &rec
 }
 
@@ -113,16 +130,15 @@
 }
 
 // AppendDone gives the result of an append. After an error the same part is
-// appended again under the same ID: a second copy of a part does no harm.
+// appended again under the same ID, unless it is seen in the log before: a
+// second copy of a part does no harm.
 func (c *Controller) AppendDone(now time.Time, err error) {
 	k := &c.ckpt
 	k.busy = false
-	switch {
-	case len(k.parts) == 0:
-	case err != nil:
+	if err != nil {
 		k.wait = now.Add(c.jitter(4 * c.cfg.ReadEvery))
-	default:
-		k.parts = k.parts[1:]
+	} else {
+		k.done(k.sent)
 	}
 	c.step(now)
 }
--- a/control/fakefleet_test.go
+++ b/control/fakefleet_test.go
@@ -36,6 +36,7 @@
 	snap   *Snapshot // last published
 	paused bool
 	cut    bool // the node cannot reach the log
+	reads  int
 }
 
 // delivery is an event that takes place at a tick.
@@ -163,6 +164,7 @@
 		n.snap = out.Snapshot
 	}
 	if out.Read != nil {
+		n.reads++
 		f.read(n, *out.Read)
 	}
 	if out.Append != nil {
@@ -219,12 +221,11 @@
 }
 
 func (f *fakeFleet) answer(n, to *fakeNode, a AskPeer) {
-	u := Update{To: f.version(to), Parts: 1}
-	if to.snap != nil {
-		if newer, ok := to.snap.Since(a.Since); ok {
-			u = newer
-		}
+	snap := to.snap
+	if snap == nil {
+		snap = &Snapshot{}
 	}
+	u := snap.Answer(a.Since)
 	if !f.cut[[2]int{to.index, n.index}] {
 		f.after(f.lag(), n, func() { n.core.PeerAnswer(f.clock.now(), a.Node, u) })
 	}
--- a/control/logreader.go
+++ b/control/logreader.go
@@ -89,7 +89,7 @@
 			return
 		}
 		if out.Kind == Noted {
-			c.ckpt.other = c.log.sent
+			c.ckpt.seen(out.ID, c.log.sent)
 		}
 		if out.Kind != Stale || out.Offset == c.state.Version() {
 			c.out.Outcomes = append(c.out.Outcomes, out)
--- a/control/peers.go
+++ b/control/peers.go
@@ -74,7 +74,7 @@
 }
 
 // PeerAnswer gives the answer to a question, or an update that a peer sent
-// unasked. An answer that is not newer has the peer's version as To.
+// unasked.
 func (c *Controller) PeerAnswer(now time.Time, node string, u Update) {
 	delete(c.peers.asked, node)
 	_, err := c.state.Adopt(u)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -133,6 +133,7 @@
 	f.want(Accepted, manifestRecord(t, "b1", "chairs", 1, 0, "reserve"))
 	at2 := f.state.Snapshot()
 	f.want(Accepted, withdrawRecord(t, "a2", "grain", 1, 1))
+	f.want(Accepted, homesRecord(t, "h1", "reserve", 0, "n1"))
 	from1, _ := f.state.Since(1)
 	from2, _ := f.state.Since(2)
 
@@ -155,9 +156,17 @@
 	if ok, err := s.Adopt(from1); !ok || err != nil {
 		t.Fatalf("update from 1: %v, %v", ok, err)
 	}
-	if ok, err := s.Adopt(from2); ok || err != nil || s.Version() != 3 {
+	if ok, err := s.Adopt(from2); ok || err != nil || s.Version() != 4 {
 		t.Errorf("update that is not newer: %v, %v", ok, err)
 	}
+	late := f.state.Snapshot().Answer(4)
+	if ok, err := NewState(nil).Adopt(late); ok || !errors.As(err, &gap) {
+		t.Errorf("a late answer of a peer that was not newer: %v, %v", ok, err)
+	}
+	last, _ := f.state.Since(3)
+	if len(last.Groups) != 1 || len(last.Mandates) != 0 {
+		t.Errorf("update from 3 holds %d mandates and %d groups, want one group", len(last.Mandates), len(last.Groups))
+	}
 }
 
 // Guards against state that a transfer in parts does not reproduce.
--- a/control/update.go
+++ b/control/update.go
@@ -9,7 +9,8 @@
 
 // Update holds the items whose revision lies in (From, To], and so leads from
 // the state of version From to that of version To. A full state has From 0.
-// A large update is split into parts.
+// A large update is split into parts. An update with From equal to To has no
+// items and leads nowhere; it states that its sender is not newer.
 type Update struct {
 	_        struct{} `cbor:",toarray"`
 	From     int64
@@ -80,6 +81,14 @@
 	return u, true
 }
 
+// Answer returns the answer to a peer that asks for the state after a version.
+func (s *Snapshot) Answer(since int64) Update {
+	if u, ok := s.Since(since); ok {
+		return u
+	}
+	return Update{From: s.Version, To: s.Version, Digest: s.Digest, Round: s.Round, Parts: 1}
+}
+
 // Since returns the update that leads from version to the current state.
 func (s *State) Since(version int64) (Update, bool) { return s.snap.Since(version) }
 
--- a/control/watcher.go
+++ b/control/watcher.go
@@ -12,8 +12,8 @@
 
 // Peers asks other nodes for state.
 type Peers interface {
-	// AskState returns the update after version since of a node's state. A
-	// node that is not newer answers with its own version as To and no items.
+	// AskState returns the update after version since of a node's state, as
+	// the node's Watcher.Answer gives it.
 	AskState(ctx context.Context, node string, since int64) (Update, error)
 }
 
@@ -91,13 +91,7 @@
 func (w *Watcher) Reader() bool { return w.reader.Load() }
 
 // Answer returns the answer to a peer's AskState.
-func (w *Watcher) Answer(since int64) Update {
-	s := w.Current()
-	if u, ok := s.Since(since); ok {
-		return u
-	}
-	return Update{To: s.Version, Parts: 1}
-}
+func (w *Watcher) Answer(since int64) Update { return w.Current().Answer(since) }
 
 // SetNodes gives the live nodes of the fleet, with or without this node. It
 // waits for the watcher's goroutine to take them.
