Keep a penalty from being renewed by refused messages

Cause: a call refused near the end of a penalty started another one, so that a sender that retries each millisecond could stay refused; the rate test failed once in this way. Change: a message during a penalty only closes its connection. Tests for replaced processes, pauses and expired records.

--- a/membership/partition_test.go
+++ b/membership/partition_test.go
@@ -128,6 +128,10 @@
 		if got := c.View().Node(next.ID); got.Incarnation != next.Incarnation {
 			t.Fatalf("%s holds incarnation %d", c.self.node.ID, got.Incarnation)
 		}
+		ping := old.to(c.self, &Message{Kind: Ping})
+		if out := c.Receive(n.now, next.ID, ping.Msg); len(out) != 1 || out[0].Msg.Kind != Push {
+			t.Fatalf("probe of the replaced process is answered with %+v", out)
+		}
 	}
 }
 
@@ -136,6 +140,9 @@
 	n := newNetwork(7)
 	cores := startFleet(n, 10, 1)
 	n.runUntil(t, 10*time.Second, "join", n.agreed)
+	suspected := cores[2].self.update(n.now)
+	suspected.Status = Suspect
+	cores[1].merge(n.now, &suspected, false)
 	addr := cores[1].self.node.ControlAddr
 	n.paused[addr] = true
 	n.runUntil(t, 10*time.Second, "removal", func() bool { return !cores[0].View().Live("node-0001") })
@@ -148,3 +155,19 @@
 	})
 	t.Logf("agreement %v after the pause", took)
 }
+
+// Guards against dead records that pass between nodes after their retention.
+func TestExpiredRecordIsNotLearned(t *testing.T) {
+	c := New(Config{Self: testNode(0)}, 1)
+	u := Update{ID: "gone", Incarnation: 1, Status: Dead, AgeMS: time.Hour.Milliseconds() - 1}
+	c.merge(time.Minute, &u, true)
+	if n := c.View().Node("gone"); n == nil || n.Status != Dead {
+		t.Fatalf("record within its retention: %+v", n)
+	}
+	c.Tick(2 * time.Minute)
+	u.ID, u.AgeMS = "older", u.AgeMS+1
+	c.merge(2*time.Minute, &u, true)
+	if c.View().Node("gone") != nil || c.View().Node("older") != nil {
+		t.Fatal("record past its retention is kept")
+	}
+}
--- a/peer/rate.go
+++ b/peer/rate.go
@@ -29,30 +29,38 @@
 	return &senders{perSecond: perSecond, byKey: make(map[string]*sender)}
 }
 
-// allow counts a message and reports whether it is within the bound.
-func (s *senders) allow(key string, now time.Time) bool {
+// verdict is the result of counting a message.
+type verdict int
+
+const (
+	within   verdict = iota
+	exceeded         // starts a penalty
+	// refused is a message during a penalty. It does not prolong the penalty,
+	// or a sender that retries would never get through.
+	refused
+)
+
+// count counts a message of key.
+func (s *senders) count(key string, now time.Time) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
 	e := s.entry(key, now)
 	if now.Before(e.penalized) {
-		return false
+		return refused
 	}
 	if e.limit.AllowN(now, 1) {
-		return true
+		return within
 	}
 	e.penalized = now.Add(PenaltyTime)
-	return false
+	return exceeded
 }
 
-// penalize refuses messages of key for PenaltyTime. Messages refused during a
-// penalty do not prolong it, or a sender that retries would never get through.
+// penalize refuses messages of key for PenaltyTime.
 func (s *senders) penalize(key string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.entry(key, now); !now.Before(e.penalized) {
-		e.penalized = now.Add(PenaltyTime)
-	}
+	s.entry(key, now).penalized = now.Add(PenaltyTime)
 }
 
 func (s *senders) entry(key string, now time.Time) *sender {
--- a/peer/server.go
+++ b/peer/server.go
@@ -153,8 +153,8 @@
 	}
 	remote := p.Addr.String()
 	// The connection is counted before its message is decoded, the node after.
-	if !s.senders.allow(remote, time.Now()) {
-		return nil, s.refuseRate(remote)
+	if v := s.senders.count(remote, time.Now()); v != within {
+		return nil, s.refuseRate(remote, v)
 	}
 	var in envelope
 	if err := dec(&in); err != nil {
@@ -167,8 +167,8 @@
 		return nil, status.Errorf(codes.Unauthenticated, "certificate does not name node %q", from.Node)
 	}
 	s.remember(remote, from.Node)
-	if !s.senders.allow("node "+from.Node, time.Now()) {
-		return nil, s.refuseRate(remote)
+	if v := s.senders.count("node "+from.Node, time.Now()); v != within {
+		return nil, s.refuseRate(remote, v)
 	}
 	s.local.received(from, in.Header)
 	return s.run(ctx, from, &in)
@@ -193,8 +193,12 @@
 	return out, err
 }
 
-func (s *Server) refuseRate(remote string) error {
-	s.penalize(remote)
+func (s *Server) refuseRate(remote string, v verdict) error {
+	if v == exceeded {
+		s.penalize(remote)
+	} else {
+		s.disconnect(remote)
+	}
 	return status.Errorf(codes.Aborted, "more than %d messages/s", s.settings.MessagesPerSecond)
 }
 
@@ -208,13 +212,20 @@
 // penalize closes the connection and refuses its node for PenaltyTime.
 func (s *Server) penalize(remote string) {
 	s.mu.RLock()
-	l, node := s.listener, s.nodes[remote]
+	node := s.nodes[remote]
 	s.mu.RUnlock()
 	now := time.Now()
 	s.senders.penalize(remote, now)
 	if node != "" {
 		s.senders.penalize("node "+node, now)
 	}
+	s.disconnect(remote)
+}
+
+func (s *Server) disconnect(remote string) {
+	s.mu.RLock()
+	l := s.listener
+	s.mu.RUnlock()
 	time.AfterFunc(disconnectDelay, func() { l.disconnect(remote) })
 }
 
