--- a/lease/core.go
+++ b/lease/core.go
@@ -35,6 +35,7 @@
 	waiting     bool // in use without a confirmed lease
 
 	candidates   []Candidate
+	next         []fleet.Member // the group that candidates permit
 	changeWanted bool
 	wantedSince  time.Duration
 	proposedAt   time.Duration
@@ -81,6 +82,7 @@
 	clear(s.heard)
 	s.changeWanted = false
 	s.proposed = false
+	s.next = nextMembers(s)
 	c.updateMine(s)
 	c.updateActive(now, wallMS, s)
 	c.urgent = true
--- a/lease/propose.go
+++ b/lease/propose.go
@@ -15,14 +15,14 @@
 	s := c.service(name)
 	s.candidates = slices.Clone(candidates)
 	slices.SortFunc(s.candidates, func(a, b Candidate) int { return cmp.Compare(a.Node, b.Node) })
+	s.next = nextMembers(s)
 	c.updateMine(s)
 }
 
 // propose returns the next group once a change has been wanted for long enough
 // and this node's turn has come.
 func (c *Core) propose(now time.Duration, s *service) (Proposal, bool) {
-	next := nextMembers(s)
-	if !changeNeeded(s, next) {
+	if !changeNeeded(s, s.next) {
 		s.changeWanted = false
 		s.proposed = false
 		return Proposal{}, false
@@ -39,7 +39,7 @@
 	}
 	s.proposed = true
 	s.proposedAt = now
-	return Proposal{Service: s.name, Base: s.current.Epoch, Members: next}, true
+	return Proposal{Service: s.name, Base: s.current.Epoch, Members: slices.Clone(s.next)}, true
 }
 
 // mayPropose requires that the current epoch is known to be active, which
--- a/once/sim_node_test.go
+++ b/once/sim_node_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"hyssopbridge/fleet"
@@ -14,6 +15,7 @@
 	w      *world
 	index  int
 	offset time.Duration
+	frozen bool    // the monotonic clock stops while the node is paused
 	rate   float64 // of the monotonic clock
 	skewMS int64   // of the wall clock
 
@@ -25,6 +27,7 @@
 	admissions          *Admissions
 	inbox               []func(*simNode)
 	tasks               []func()
+	candidates          []lease.Candidate
 	known               int // records of the log that the node has read
 	moved               map[moveKey]bool
 }
@@ -59,7 +62,7 @@
 	n.store = New(Config{}, n.member)
 	n.admissions = NewAdmissions(AdmissionConfig{}, n.wall())
 	n.up, n.paused, n.leaving, n.leavingFor = true, false, false, 0
-	n.inbox, n.tasks, n.known = nil, nil, 0
+	n.inbox, n.tasks, n.candidates, n.known = nil, nil, nil, 0
 	n.moved = map[moveKey]bool{}
 }
 
@@ -100,7 +103,10 @@
 		n.known = len(n.w.log)
 		n.core.SetGroups(n.mono(), n.wall(), simService, n.w.log[:n.known])
 	}
-	n.core.SetCandidates(simService, n.w.candidates())
+	if !slices.Equal(n.candidates, n.w.candidates) {
+		n.candidates = n.w.candidates
+		n.core.SetCandidates(simService, n.candidates)
+	}
 	out := n.core.Tick(n.mono(), n.wall())
 	for _, p := range out.Proposals {
 		n.w.appendGroup(p.Base, p.Members)
@@ -126,8 +132,8 @@
 	})
 }
 
-func (w *world) candidates() []lease.Candidate {
-	var out []lease.Candidate
+func (w *world) listCandidates() []lease.Candidate {
+	out := make([]lease.Candidate, 0, len(w.nodes))
 	for _, n := range w.nodes {
 		k := lease.Candidate{Member: n.member, Zone: string(rune('x' + n.index%3))}
 		switch {
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -19,7 +19,7 @@
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "80", "rapid.nofailfile": "true",
+		"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "80", "rapid.nofailfile": "true",
 	} {
 		if !given[name] {
 			if err := flag.Set(name, value); err != nil {
@@ -44,15 +44,20 @@
 			w.call(node.Draw(t, "entry"), key, payload)
 		}
 	}
-	return map[string]func(*rapid.T){
-		"advance": func(t *rapid.T) { w.steps(rapid.IntRange(1, 40).Draw(t, "ticks")) },
-		"tick":    func(t *rapid.T) { w.steps(rapid.IntRange(1, 6).Draw(t, "ticks")) },
-		"new key": func(t *rapid.T) {
-			*keys = append(*keys, w.newKey(rapid.IntRange(0, 3).Draw(t, "form"), rapid.IntRange(-15, 15).Draw(t, "skew")))
+	newKey := func(t *rapid.T) {
+		*keys = append(*keys, w.newKey(rapid.IntRange(0, 3).Draw(t, "form"), rapid.IntRange(-15, 15).Draw(t, "skew")))
+		for range rapid.IntRange(1, 2).Draw(t, "entries") {
 			w.call(node.Draw(t, "entry"), (*keys)[len(*keys)-1], 0)
-		},
-		"send":   send,
-		"resend": send,
+		}
+	}
+	return map[string]func(*rapid.T){
+		"advance":       func(t *rapid.T) { w.steps(rapid.IntRange(1, 40).Draw(t, "ticks")) },
+		"tick":          func(t *rapid.T) { w.steps(rapid.IntRange(1, 6).Draw(t, "ticks")) },
+		"new key":       newKey,
+		"send":          send,
+		"resend":        send,
+		"new key again": newKey,
+		"calm":          func(t *rapid.T) { w.settle(); w.lossy = true; w.steps(rapid.IntRange(20, 200).Draw(t, "ticks")) },
 		"cut": func(t *rapid.T) {
 			pair := [2]int{node.Draw(t, "from"), node.Draw(t, "to")}
 			w.cut[pair] = !w.cut[pair] && pair[0] != pair[1]
@@ -153,13 +158,14 @@
 // not recover.
 func TestAtMostOnce(t *testing.T) {
 	ran, replays, epochs := 0, 0, int64(0)
+	codes := map[resultcode.Code]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "nodes"))
 		var keys []Key
 		for range 4 {
 			keys = append(keys, w.newKey(len(keys), 0))
 		}
-		if rapid.Bool().Draw(t, "warm") {
+		if rapid.IntRange(0, 9).Draw(t, "cold") > 0 {
 			w.steps(100)
 		}
 		t.Repeat(w.actions(&keys))
@@ -171,9 +177,12 @@
 		if !alive {
 			t.Fatalf("no new order ran within %d ticks; epoch %d, last group %+v", livenessTicks, w.epoch(), w.log[len(w.log)-1])
 		}
+		for _, c := range w.calls {
+			codes[c.code]++
+		}
 		ran, replays, epochs = ran+w.ran, replays+w.replays, epochs+w.epoch()
 	})
-	t.Logf("orders run %d, answers replayed %d, epochs %d", ran, replays, epochs)
+	t.Logf("orders run %d, answers replayed %d, epochs %d, outcomes %v", ran, replays, epochs, codes)
 	if !t.Failed() && (ran == 0 || replays == 0 || epochs == 0) {
 		t.Error("the simulation ran no orders, replayed no answers or had no epochs")
 	}
--- a/once/sim_world_test.go
+++ b/once/sim_world_test.go
@@ -20,15 +20,16 @@
 
 // world is a fleet of nodes with a network, a log and a target that counts runs.
 type world struct {
-	rng       *rand.Rand
-	now       time.Duration // true time
-	nodes     []*simNode
-	net       []*envelope
-	cut       map[[2]int]bool
-	falseDead map[int]bool // nodes that membership wrongly reports as dead
-	lossy     bool
-	logDown   bool
-	log       []lease.Group
+	rng        *rand.Rand
+	now        time.Duration // true time
+	nodes      []*simNode
+	net        []*envelope
+	cut        map[[2]int]bool
+	candidates []lease.Candidate
+	falseDead  map[int]bool // nodes that membership wrongly reports as dead
+	lossy      bool
+	logDown    bool
+	log        []lease.Group
 
 	calls   []*call
 	runs    map[Key]int
@@ -126,11 +127,35 @@
 			n.inbox = append(n.inbox, e.deliver)
 		}
 	}
+	w.candidates = w.listCandidates()
 	for _, n := range w.nodes {
+		if n.paused && n.frozen {
+			n.offset -= time.Duration(float64(simTick) * n.rate)
+		}
 		if n.up && !n.paused {
 			n.step()
 		}
 	}
+	w.checkLeases()
+}
+
+// checkLeases verifies that all holders of a lease, paused or not, act in the
+// same epoch, except nodes whose clock broke the contract.
+func (w *world) checkLeases() {
+	held := int64(0)
+	for _, n := range w.nodes {
+		if !n.up || n.frozen {
+			continue
+		}
+		epoch, _, ok := n.core.Holds(n.mono(), simService)
+		if !ok {
+			continue
+		}
+		if held != 0 && epoch != held {
+			w.faultf("leases are held in epochs %d and %d", held, epoch)
+		}
+		held = epoch
+	}
 }
 
 func (w *world) steps(n int) {
