--- a/filters/framing.go
+++ b/filters/framing.go
@@ -13,8 +13,8 @@
 // places. net/http refuses some of these itself; the checks here do not depend
 // on that.
 func checkFraming(r *http.Request) error {
-	lengths := fieldValues(r.Header, "Content-Length")
-	encodings := fieldValues(r.Header, "Transfer-Encoding")
+	lengths := r.Header["Content-Length"]
+	encodings := r.Header["Transfer-Encoding"]
 	if len(r.TransferEncoding) > 0 {
 		encodings = r.TransferEncoding
 	}
@@ -38,20 +38,17 @@
 	return nil
 }
 
-// fieldValues returns the values of a field under any spelling of its name,
-// since a map built by hand need not hold canonical names.
-func fieldValues(h http.Header, canonical string) []string {
-	values := h[canonical]
-	var more []string
-	for name, v := range h {
-		if name != canonical && len(name) == len(canonical) && strings.EqualFold(name, canonical) {
-			more = append(more, v...)
-		}
-	}
-	if more == nil {
-		return values
+// framingAlias reports whether name is another spelling of a field that states
+// the length of the body. net/http leaves such names in a header only if they
+// were set by hand or are invalid.
+func framingAlias(name string) bool {
+	switch len(name) {
+	case len("Content-Length"):
+		return name != "Content-Length" && strings.EqualFold(name, "Content-Length")
+	case len("Transfer-Encoding"):
+		return name != "Transfer-Encoding" && strings.EqualFold(name, "Transfer-Encoding")
 	}
-	return append(more, values...)
+	return false
 }
 
 func validLength(v string) bool {
--- a/filters/headers.go
+++ b/filters/headers.go
@@ -93,7 +93,7 @@
 func checkFields(h http.Header, limits HeaderArgs) error {
 	fields, size := 0, 0
 	for name, values := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
+		if !httpguts.ValidHeaderFieldName(name) || framingAlias(name) {
 			return bad("invalid header name")
 		}
 		for _, v := range values {
--- a/filters/idempotency.go
+++ b/filters/idempotency.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"hash"
-	"io"
 )
 
 // KeyHeader is the field that carries the caller's idempotency key.
@@ -83,13 +82,13 @@
 // its content besides the body. Each part is preceded by its length, so that
 // parts cannot be shifted into one another.
 func NewPayloadHasher(method, target, contentType string) *PayloadHasher {
-	p := &PayloadHasher{sum: sha256.New()}
+	head := make([]byte, 0, 24+len(method)+len(target)+len(contentType))
 	for _, part := range [...]string{method, target, contentType} {
-		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
-		_, _ = p.sum.Write(n[:])
-		_, _ = io.WriteString(p.sum, part)
+		head = binary.BigEndian.AppendUint64(head, uint64(len(part)))
+		head = append(head, part...)
 	}
+	p := &PayloadHasher{sum: sha256.New()}
+	_, _ = p.sum.Write(head)
 	return p
 }
 
