Hold ejections on strong bursts; sum late work per flapping target

Cause: with half the threshold per target a slow service was noticed after its first ejection. Change: a strongly bad request within 0.5 s marks a target for the hold again.

--- a/health/faults.go
+++ b/health/faults.go
@@ -220,7 +220,7 @@
 		if strong && !t.ejected {
 			burst++
 		}
-		if t.ejected || c.total(now, t) >= c.tuning.Threshold/2 {
+		if t.ejected || strong || c.total(now, t) >= c.tuning.Threshold/3 {
 			bad++
 		}
 	}
--- a/replay/score.go
+++ b/replay/score.go
@@ -186,16 +186,20 @@
 
 func (s *scorer) finish() *Score { return s.score }
 
-// LateShare is the largest share of offered work that a sick interval of a
-// target got after the target's second one.
+// LateShare is the share of offered work that the sick intervals of targets got
+// after the second interval of the same target; 0 if there are none.
 func (s *Score) LateShare() float64 {
 	seen := map[string]int{}
-	worst := 0.0
+	delivered, offered := 0, 0
 	for _, in := range s.Intervals {
 		seen[in.Target]++
-		if seen[in.Target] > 2 && in.Offered > 0 {
-			worst = max(worst, float64(in.Delivered)/float64(in.Offered))
+		if seen[in.Target] > 2 {
+			delivered += in.Delivered
+			offered += in.Offered
 		}
 	}
-	return worst
+	if offered == 0 {
+		return 0
+	}
+	return float64(delivered) / float64(offered)
 }
