Claim "not run" for keyed orders on the home's proof only

Cause: a resend of an order that had run was refused with 503 and Hb-Ran: no while its home had no lease, so a caller could take the order for not run. Change: for a request with an idempotency key every refusal says unknown unless the home's records prove that no request with the key ran. Process tests kill, freeze and stop nodes, take the log away and race operators. A frozen node that wakes still serves a withdrawn mandate for a moment; that is next.

--- /dev/null
+++ b/cmd/hyssopbridge/outage_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hyssopbridge/control"
+)
+
+// Guards against a log outage that stops traffic or orders, that keeps a new
+// node from serving, or that a publisher mistakes for success.
+func TestLogOutage(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 3)
+	targets := f.startOrderTargets()
+	f.publish(document)
+	for _, p := range f.nodes {
+		f.waitOrders(p, "ready-"+p.listen)
+	}
+	f.log.SetDown(true)
+	_, err := f.publisher().Publish(context.Background(), "test.json", []byte(document), control.HeadBase)
+	var down *control.UnavailableError
+	if !errors.As(err, &down) {
+		t.Errorf("publish while the log is down: %v, want UnavailableError", err)
+	}
+	orders := f.sendOrders("down", orderCount, newKey, f.nodes)
+	if n := countStatus(orders, http.StatusOK); n != orderCount {
+		t.Errorf("%d of %d orders answered while the log is down", n, orderCount)
+	}
+	joined := f.startNode(3)
+	f.waitStatus("http://"+joined.listen+"/status/1", http.StatusOK)
+	f.nodes[1].kill()
+	f.run(f.nodes[1])
+	f.waitStatus("http://"+f.nodes[1].listen+"/status/1", http.StatusOK)
+	f.log.SetDown(false)
+	f.withdraw(t)
+	for _, p := range append(f.nodes, joined) {
+		f.waitStatus("http://"+p.listen+"/status/1", http.StatusGone)
+	}
+	targets.check(t)
+}
+
+func (f *fixture) withdraw(t *testing.T) {
+	t.Helper()
+	if _, err := f.publisher().Withdraw(context.Background(), "belts", "test", control.HeadBase); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a node that slept through a withdrawal and serves the mandate
+// when it wakes, and against any node that serves it again later.
+func TestWithdrawalWhileFrozen(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 3)
+	f.startOrderTargets()
+	f.publish(document)
+	for _, p := range f.nodes {
+		f.waitStatus("http://"+p.listen+"/status/1", http.StatusOK)
+	}
+	frozen := f.nodes[2]
+	if err := frozen.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	f.withdraw(t)
+	for _, p := range f.nodes[:2] {
+		f.waitStatus("http://"+p.listen+"/status/1", http.StatusGone)
+	}
+	if err := frozen.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	f.waitStatus("http://"+frozen.listen+"/status/1", http.StatusGone)
+	for range 20 {
+		for _, p := range f.nodes {
+			f.waitGone(p)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// waitGone fails the test if one request is answered other than 410.
+func (f *fixture) waitGone(p *process) {
+	resp, err := f.client.Get("http://" + p.listen + "/status/1")
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusGone {
+		f.t.Errorf("withdrawn mandate answered with status %d", resp.StatusCode)
+	}
+}
+
+// Guards against two operators who both believe that their manifest won.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2)
+	f.publish(document)
+	f.waitStatus("http://"+f.nodes[0].listen+"/status/1", http.StatusServiceUnavailable)
+	const operators = 8
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	wins, conflicts := 0, 0
+	base := currentRevision(t, f)
+	for i := range operators {
+		wait.Go(func() {
+			doc := fmt.Sprintf(`{"comment":"operator %d",%s`, i, document[1:])
+			_, err := f.publisher().Publish(context.Background(), "test.json", []byte(doc), base)
+			var conflict *control.ConflictError
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				wins++
+			case errors.As(err, &conflict):
+				conflicts++
+			default:
+				t.Errorf("publish: %v", err)
+			}
+		})
+	}
+	wait.Wait()
+	if wins != 1 || conflicts != operators-1 {
+		t.Errorf("%d operators won and %d got a conflict, want 1 and %d", wins, conflicts, operators-1)
+	}
+}
+
+func currentRevision(t *testing.T, f *fixture) int64 {
+	t.Helper()
+	state := control.NewState(nil)
+	entries, err := f.log.Read(context.Background(), "control", 1, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		state.Apply(e)
+	}
+	m, ok := state.Snapshot().Mandate("belts")
+	if !ok {
+		t.Fatal("mandate is not known")
+	}
+	return m.Revision
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -83,6 +83,8 @@
 	tried    []string // instances that were tried
 	attempts int
 	filter   filters.Context
+	// proven is set when the home's records prove that a keyed order was not run.
+	proven bool
 	// shortened is set when the caller asked for less time than the route
 	// gives. A timeout is then no evidence against the target.
 	shortened bool
@@ -99,6 +101,7 @@
 // finish writes a refusal if nothing was written, records the result, and
 // aborts the connection when an answer broke off.
 func (c *call) finish(err error) {
+	err = c.qualify(err)
 	var aborted abortError
 	switch {
 	case err == nil:
--- a/proxy/orders.go
+++ b/proxy/orders.go
@@ -126,6 +126,7 @@
 	}
 	defer resp.Body.Close()
 	if err := c.checkPeerAnswer(resp); err != nil {
+		c.proven = asResult(err).Ran == resultcode.RanNo
 		return err
 	}
 	return c.passOn(resp)
@@ -204,10 +205,31 @@
 		c.replay(d.Answer)
 		return nil
 	default:
-		return resultcode.New(d.Code, "order with key %q: %v", key.Value, d.Code)
+		c.proven = provesNotRun(d.Code)
+		return resultcode.New(d.Code, "order refused by its home")
 	}
 }
 
+// provesNotRun reports refusals that rest on complete records: no earlier
+// request with the key and this payload has run.
+func provesNotRun(c resultcode.Code) bool {
+	return c == resultcode.ClassShed || c == resultcode.KeyFromFuture || c == resultcode.KeyReused
+}
+
+// qualify takes back the claim "not run" for an order with a key unless its
+// home has proof: an earlier request with the same key may have run.
+func (c *call) qualify(err error) error {
+	keyed := c.r.Header.Get(filters.KeyHeader) != "" || c.filter.Key != ""
+	if err == nil || c.proven || !keyed || c.route != nil && c.route.Idempotent || errors.As(err, new(abortError)) {
+		return err
+	}
+	re := *asResult(err)
+	if re.Ran == resultcode.RanNo {
+		re.Ran = resultcode.RanUnknown
+	}
+	return &re
+}
+
 func (c *call) payloadHash() once.PayloadHash {
 	var full once.PayloadHash
 	sum := filters.HashPayload(c.r.Method, c.r.URL.RequestURI(), c.r.Header.Get("Content-Type"), c.body.data)
@@ -237,6 +259,7 @@
 			return resultcode.New(abortCode(aborted.err), "%w", aborted.err)
 		}
 	case asResult(err).Ran == resultcode.RanNo:
+		c.proven = true
 		c.e.cfg.Orders.NotRun(key, attempt)
 	default:
 		c.e.cfg.Orders.Unknown(key, attempt)
