Refuse work after a pause until a peer confirms the configuration

Cause: a node that was frozen while its mandate was withdrawn served it for a moment after it woke (6 of 60 requests with status 200). Change: a node whose control loop missed more than 3 s refuses work as not run until it has the version of a peer, at most 2 s.

--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	lists     *lists
 	reconcile *reconciler
 	versions  versions
+	pause     pauseGuard
 
 	entry     *proxy.Entry
 	host      *proxy.Host
@@ -83,6 +84,7 @@
 func New(s *static.Settings, options ...Option) *Node {
 	n := &Node{settings: s, start: time.Now(), logger: log.Log, done: make(chan struct{}), observer: &observer{}}
 	n.observer.clock = n.clock
+	n.pause.n = n
 	for _, o := range options {
 		o(n)
 	}
@@ -91,6 +93,7 @@
 	n.member = fleet.Member{Node: n.self.ID, Incarnation: n.self.Incarnation}
 	n.log = platformlog.NewHTTPClient(s.Log)
 	n.routes = newRoutes(n.logger)
+	n.routes.usable = n.pause.check
 	n.local = newLocalTargets(n.routes.service, n.clock)
 	n.balancer = loadbalancer.New(loadbalancer.Config{Node: s.Node, Zone: s.Zone, Region: s.Region})
 	n.budgets = &budgets{clock: n.clock}
@@ -133,8 +136,9 @@
 		return err
 	}
 	n.serveAll()
+	n.pause.beat.Store(int64(n.clock()))
 	for _, run := range []func(context.Context){
-		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle,
+		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle, n.pause.run,
 	} {
 		go run(ctx)
 	}
--- a/node/routes.go
+++ b/node/routes.go
@@ -14,6 +14,7 @@
 type routes struct {
 	current atomic.Pointer[routeView]
 	logger  logger
+	usable  func() error // an error while the configuration may be out of date
 }
 
 // routeView is what traffic reads. Routes of withdrawn mandates are kept apart,
@@ -67,6 +68,9 @@
 	if v.snapshot.Version == 0 {
 		return nil, errNoConfiguration
 	}
+	if err := r.usable(); err != nil {
+		return nil, err
+	}
 	path, err := routing.Normalize(req.URL.EscapedPath())
 	if err != nil {
 		return nil, resultcode.New(resultcode.BadRequest, "%w", err)
@@ -88,6 +92,9 @@
 
 // Find implements proxy.Router.
 func (r *routes) Find(service, route string) (*routing.Route, error) {
+	if err := r.usable(); err != nil {
+		return nil, err
+	}
 	v := r.current.Load()
 	if found, ok := v.live.Route(service, route); ok {
 		return found, nil
@@ -104,6 +111,9 @@
 // allowed returns an error when a service may no longer serve. A service that
 // this node does not know yet is allowed: the entry node may be ahead.
 func (r *routes) allowed(service string) error {
+	if err := r.usable(); err != nil {
+		return err
+	}
 	v := r.current.Load()
 	if _, ok := v.live.Service(service); ok {
 		return nil
