Close connections of refused requests whose body does not arrive

Cause: net/http reads the rest of a body after the handler, without a deadline; a caller that sent 3 of 1000 bytes held its connection for good. Change: a refused request with an unread body gets 200 ms and a closed connection.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -125,16 +125,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes,
 		Protocols:         protocols(l.name),
-		ErrorLog:          stdlog.New(discard{}, "", 0),
+		ErrorLog:          stdlog.New(noLog{}, "", 0),
 	}
 	go func() { _ = l.server.Serve(l.l) }()
 }
 
-// discard drops the messages of net/http about broken connections, which
+// noLog drops the messages of net/http about broken connections, which
 // hostile callers could otherwise use to fill the log.
-type discard struct{}
+type noLog struct{}
 
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (noLog) Write(p []byte) (int, error) { return len(p), nil }
 
 // protocols allows HTTP/2 for callers. Nodes speak HTTP/1.1 to one another, so
 // that a connection carries one request at a time.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -111,6 +111,7 @@
 	default:
 		c.result.Code = asResult(err).Code
 		c.result.Ran = asResult(err).Ran
+		c.dropBody()
 		writeError(c.w, c.id, err)
 	}
 	c.record(err)
@@ -119,6 +120,22 @@
 	}
 }
 
+// dropBodyTime is how long a refused request may still send its body.
+const dropBodyTime = 200 * time.Millisecond
+
+// dropBody makes the connection close when the body of a refused request has
+// not been read. The server reads the rest before the next request, without a
+// limit of its own, so a caller that sends nothing would hold the connection.
+func (c *call) dropBody() {
+	if c.r.ContentLength == 0 || c.body != nil && c.body.stream == nil {
+		return
+	}
+	ctl := http.NewResponseController(c.w)
+	_ = ctl.EnableFullDuplex()
+	_ = ctl.SetReadDeadline(time.Now().Add(dropBodyTime))
+	c.w.Header().Set("Connection", "close")
+}
+
 func abortCode(err error) resultcode.Code {
 	var failed writeFailed
 	switch {
--- a/proxy/refuse.go
+++ b/proxy/refuse.go
@@ -16,7 +16,11 @@
 func writeError(w http.ResponseWriter, id string, err error) {
 	re := asResult(err)
 	h := w.Header()
+	connection := h.Get("Connection")
 	clear(h)
+	if connection != "" {
+		h.Set("Connection", connection)
+	}
 	h.Set(HeaderRequestID, id)
 	h.Set(RequestIDHeader, id)
 	h.Set(HeaderResult, re.Code.String())
