--- a/health/cold.go
+++ b/health/cold.go
@@ -19,6 +19,7 @@
 	cold      bool
 	since     time.Duration // start of the first request of the cold start
 	started   bool
+	joined    bool // known since after the first list, or idle since
 	normal    int
 	lastStart time.Duration
 	gap       float64 // usual time between requests, in seconds
@@ -53,6 +54,7 @@
 
 func (s *coldState) begin(now time.Duration) {
 	s.cold = true
+	s.joined = true
 	s.started = true
 	s.since = now
 	s.normal = 0
@@ -79,6 +81,6 @@
 	}
 }
 
-// unproven reports whether the target has not yet answered enough to count as
-// healthy capacity.
-func (s *coldState) unproven() bool { return s.cold }
+// unproven reports whether the target does not yet count as healthy capacity.
+// Targets of the first list count: a new arbiter has seen no work of theirs.
+func (s *coldState) unproven() bool { return s.cold && s.joined }
--- a/health/core.go
+++ b/health/core.go
@@ -48,10 +48,12 @@
 // longer listed are forgotten.
 func (c *Core) SetTargets(now time.Duration, list []Target) {
 	next := make(map[string]*target, len(list))
+	first := len(c.order) == 0
 	for _, announced := range list {
 		t := c.targets[announced.ID]
 		if t == nil {
-			t = newTarget(announced.ID, 0, announced.State)
+			t = newTarget(announced.ID, announced.State)
+			t.cold.joined = !first
 		}
 		t.announce(now, announced.State)
 		next[announced.ID] = t
@@ -86,9 +88,6 @@
 		c.order = append(c.order, t)
 	}
 	sort.Slice(c.order, func(i, j int) bool { return c.order[i].id < c.order[j].id })
-	for i, t := range c.order {
-		t.index = i
-	}
 }
 
 // Probe notes the answer of a health probe. It is reported with the next
--- a/health/returns.go
+++ b/health/returns.go
@@ -21,7 +21,7 @@
 	maxRepeats   = 6               // bounds passes and step lengths
 	stepTime     = time.Second     // length of a step, per repeat
 	stepGoods    = 3               // good answers that a step needs
-	relapseShare = 0.35            // of the threshold, while work is regained
+	relapseScore = 4.0             // nats that end the return while work is regained
 	calmTime     = 5 * time.Minute // in service, after which repeats are forgotten
 	jitterShare  = 0.2
 	trialShare   = 0.02 // published share of work while single requests are tried
@@ -131,7 +131,7 @@
 func (c *Core) onBadTrial(now time.Duration, t *target, s sample) {
 	e := &t.ejection
 	t.score += float64(s.weight)
-	if e.step > 0 && t.score < relapseShare*c.tuning.Threshold {
+	if e.step > 0 && t.score < relapseScore {
 		return
 	}
 	if e.step > 0 || e.passes >= flapPasses {
--- a/health/target.go
+++ b/health/target.go
@@ -9,7 +9,6 @@
 // target is what a Core knows about one target.
 type target struct {
 	id    string
-	index int
 	state fleet.InstanceState
 
 	score       float64 // nats, from completed requests
@@ -49,10 +48,9 @@
 
 const maxOpen = 256 // open requests followed per target
 
-func newTarget(id string, index int, state fleet.InstanceState) *target {
+func newTarget(id string, state fleet.InstanceState) *target {
 	return &target{
 		id:    id,
-		index: index,
 		state: state,
 		bad:   ring{max: badRing},
 		good:  ring{max: goodRing},
--- a/internal/detection/main.go
+++ b/internal/detection/main.go
@@ -7,9 +7,13 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
+
+	"hyssopbridge/replay"
 )
 
 func main() {
+	only := flag.String("scenarios", strings.Join(replay.Scenarios(), ","), "scenarios to measure, separated by commas")
 	seeds := flag.Int("seeds", 20, "seeds per scenario")
 	hours := flag.Float64("hours", 100, "healthy target-hours per point of the sweep")
 	claim := flag.Float64("claim", 0, "healthy target-hours for the preferences; 0 skips them")
@@ -18,14 +22,14 @@
 	workers := flag.Int("workers", 4, "replays at a time")
 	flag.Parse()
 	r := runner{workers: *workers}
-	if err := run(r, *seeds, *hours, *claim, *sweep || *plotFile != "", *plotFile, flag.Args()); err != nil {
+	if err := run(r, strings.Split(*only, ","), *seeds, *hours, *claim, *sweep || *plotFile != "", *plotFile, flag.Args()); err != nil {
 		fmt.Fprintf(os.Stderr, "detection: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(r runner, seeds int, hours, claim float64, sweep bool, plotFile string, files []string) error {
-	if err := r.scenarios(os.Stdout, seeds); err != nil {
+func run(r runner, names []string, seeds int, hours, claim float64, sweep bool, plotFile string, files []string) error {
+	if err := r.scenarios(os.Stdout, names, seeds); err != nil {
 		return err
 	}
 	if err := r.files(os.Stdout, files); err != nil {
--- a/internal/detection/tables.go
+++ b/internal/detection/tables.go
@@ -46,9 +46,9 @@
 	return fmt.Sprintf("%.0f", v)
 }
 
-func (r runner) scenarios(w io.Writer, seeds int) error {
+func (r runner) scenarios(w io.Writer, names []string, seeds int) error {
 	fmt.Fprintf(w, tableHead, "scenario")
-	for _, name := range replay.Scenarios() {
+	for _, name := range names {
 		for _, m := range methods() {
 			row(w, name, m.name, summarize(r.replayAll(seedsOf(name, seeds), m.name, m.core)))
 		}
--- a/replay/writer.go
+++ b/replay/writer.go
@@ -6,7 +6,6 @@
 	"io"
 
 	"hyssopbridge/fleet"
-	"hyssopbridge/health"
 )
 
 type headerLine struct {
@@ -93,5 +92,3 @@
 		return truthLine{"truth", at, t.Targets[e.Target].ID, e.State.String()}
 	}
 }
-
-var _ Decider = (*health.Core)(nil)
