Add dissemination rounds and cost benchmarks of membership

Cause: the 2 s bound and the cost budget need figures. Change: test of rounds until all nodes know a leaving node; benchmarks of CPU, messages, bytes and memory.

--- /dev/null
+++ b/membership/scale_test.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+// preload gives every core the records of all others, as after a join.
+func preload(n *network, cores []*Core) {
+	for _, c := range cores {
+		for _, other := range cores {
+			if c != other {
+				u := other.self.full(0)
+				c.merge(0, &u, true)
+			}
+		}
+		for _, id := range c.order {
+			c.dropRumor(id)
+		}
+		c.fresh = false
+		c.joined, c.transfer = true, transfer{}
+		c.View()
+	}
+}
+
+func loadedFleet(size, instances int) (*network, []*Core) {
+	n := newNetwork(uint64(size))
+	cores := startFleet(n, size, instances)
+	preload(n, cores)
+	return n, cores
+}
+
+// roundsToLeave marks a node leaving and returns the steps until some shares of
+// the fleet know it.
+func roundsToLeave(n *network, cores []*Core) (most, all int) {
+	leaver := cores[len(cores)/2]
+	leaver.SetSelf(leaver.self.instances, true)
+	for round := 1; ; round++ {
+		n.step()
+		known := 0
+		for _, c := range cores {
+			if c.members[leaver.self.node.ID].leaving {
+				known++
+			}
+		}
+		if most == 0 && known*100 >= 99*len(cores) {
+			most = round
+		}
+		if known == len(cores) {
+			return most, round
+		}
+		if round > 400 {
+			return most, round
+		}
+	}
+}
+
+// Guards against a leaving node that is not known everywhere within 2 s of
+// simulated time, at the size goal too. A step of 50 ms is the delay of a
+// message and the interval of ticks.
+func TestDisseminationRounds(t *testing.T) {
+	sizes := []int{10, 40, 100, 1000}
+	if os.Getenv("HYSSOPBRIDGE_LARGE") != "" {
+		sizes = append(sizes, 2800)
+	}
+	for _, size := range sizes {
+		for _, loss := range []float64{0, 0.1} {
+			if loss > 0 && size > 1000 {
+				continue
+			}
+			n, cores := loadedFleet(size, 0)
+			n.loss = loss
+			for range 40 {
+				n.step()
+			}
+			most, all := roundsToLeave(n, cores)
+			t.Logf("%4d nodes, loss %.0f%%: 99%% know after %d rounds, all after %d (%v)", size, 100*loss, most, all, time.Duration(all)*step)
+			if loss == 0 && time.Duration(all)*step > 2*time.Second {
+				t.Errorf("%d nodes: %d rounds", size, all)
+			}
+		}
+	}
+}
+
+// changes makes a share of the nodes change one instance in each second.
+type changes struct {
+	perSecond float64 // of the whole fleet
+	credit    float64
+	seq       int64
+}
+
+func (c *changes) step(n *network, cores []*Core) {
+	c.credit += c.perSecond * step.Seconds()
+	for ; c.credit >= 1; c.credit-- {
+		c.seq++
+		core := cores[n.rng.IntN(len(cores))]
+		list := append([]fleet.Instance(nil), core.self.instances...)
+		if len(list) == 0 {
+			continue
+		}
+		list[n.rng.IntN(len(list))].Seq = 1 + c.seq
+		core.SetSelf(list, false)
+	}
+}
+
+// BenchmarkFleet measures the work of one node in a fleet whose messages are
+// encoded and decoded, with the stated changes of instances per second in the
+// whole fleet. One operation is one second of the whole fleet.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{10, 50, 100, 200} {
+		for _, rate := range []float64{0, 2} {
+			b.Run(fmt.Sprintf("nodes=%d/changes=%g", size, rate), func(b *testing.B) { benchmarkFleet(b, size, rate) })
+		}
+	}
+}
+
+func benchmarkFleet(b *testing.B, size int, rate float64) {
+	n, cores := loadedFleet(size, 64)
+	n.encode = true
+	load := &changes{perSecond: rate}
+	second := func() {
+		for range int(time.Second / step) {
+			load.step(n, cores)
+			n.step()
+			for _, c := range cores {
+				c.View()
+			}
+		}
+	}
+	for range 5 {
+		second()
+	}
+	n.messages, n.bytes = 0, 0
+	seconds := 0
+	for b.Loop() {
+		second()
+		seconds++
+	}
+	perNode := float64(seconds * size)
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/perNode, "µs/node/s")
+	b.ReportMetric(float64(n.messages)/perNode, "sent/node/s")
+	b.ReportMetric(float64(n.bytes)/perNode, "sentB/node/s")
+	b.ReportMetric(float64(n.maxSize), "maxB")
+}
+
+// BenchmarkMemory measures the heap of one core with its view.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []int{10, 50, 100, 200, 2800} {
+		b.Run(fmt.Sprintf("nodes=%d/instances=%d", size, size*64), func(b *testing.B) {
+			var c *Core
+			before := heap()
+			for b.Loop() {
+				c = nil
+				before = heap()
+				c = loadedCore(size)
+			}
+			b.ReportMetric(float64(heap()-before)/(1<<20), "MiB")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// loadedCore learns a fleet from encoded pages, as a joining node does.
+func loadedCore(size int) *Core {
+	n := newNetwork(1)
+	c := New(Config{Self: fleet.Node{ID: "self"}}, 1)
+	for i := range size {
+		other := New(Config{Self: testNode(i)}, 1)
+		other.SetSelf(testInstances(i, 64), false)
+		o := Outgoing{Msg: &Message{Kind: State, Updates: []Update{other.self.full(0)}}}
+		n.recode(&o)
+		c.merge(0, &o.Msg.Updates[0], true)
+	}
+	for _, id := range c.order {
+		c.dropRumor(id)
+	}
+	c.View()
+	return c
+}
+
+// BenchmarkView measures a new view after one node changed, at the size goal.
+func BenchmarkView(b *testing.B) {
+	c := loadedCore(2800)
+	m := c.members["node-1400"]
+	b.ReportAllocs()
+	for b.Loop() {
+		c.touch(m)
+		c.View()
+	}
+}
+
+// BenchmarkTick measures an idle tick at the size goal.
+func BenchmarkTick(b *testing.B) {
+	c := loadedCore(2800)
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += step
+		c.probes = nil
+		c.suspects = nil
+		c.Tick(now)
+	}
+}
