Stop sending news that others already know

Cause: every update was sent the full 3*log2(n) times, although most receivers knew it after a few. Change: the arrival of known news counts as 4 transmissions of it.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// repeatCost is the number of transmissions that one arrival of known news
+// replaces.
+const repeatCost = 4
+
 // gossip is the dissemination part of a Core.
 type gossip struct {
 	rumors  []*rumor // fewest transmissions first, after sorting
@@ -52,6 +56,14 @@
 	return c.cfg.RetransmitFactor * max(1, bits.Len(uint(len(c.peers)+1)))
 }
 
+// heardAgain counts the arrival of known news against its transmissions: the
+// sender's other receivers are likely to know it too.
+func (c *Core) heardAgain(id string) {
+	if r := c.rumorOf[id]; r != nil && r.pushed {
+		r.sent += repeatCost
+	}
+}
+
 // piggyback returns updates for a message to a node: first what is held against
 // that node, so that it can refute, then news by rising transmissions.
 func (c *Core) piggyback(now time.Duration, to string) []Update {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -61,8 +61,11 @@
 		m.want = max(m.want, u.Seq)
 		content = c.applyContent(m, u)
 	}
-	if content || m.life != before || m.leaving != leaving {
+	switch {
+	case content || m.life != before || m.leaving != leaving:
 		c.news(m, base)
+	case m.life == l && m.seq == u.Seq && m.leaving == u.Leaving:
+		c.heardAgain(u.ID)
 	}
 }
 
