Reduce the cost of new connections between nodes

Cause: a TLS call on a new connection took 2.98 ms for both sides together, and each push went to random peers, mostly over new connections. Rounds at 1,000 and 2,800 nodes run with HYSSOPBRIDGE_LARGE=1. A leaving node is known after 6 rounds at 100 nodes and 17 at 1,000 without loss; with 10% loss at 1,000 nodes one node heard of it by digest only, after 167 rounds (8.35 s).

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+const (
+	// neighbourCount is the number of peers among which each push chooses. Their
+	// connections stay open, while a push to any peer of a large fleet would
+	// start with a handshake.
+	neighbourCount    = 12
+	neighbourInterval = time.Minute // between replacements of one neighbour
+)
+
 // repeatCost is the number of transmissions that one arrival of known news
 // replaces.
 const repeatCost = 4
@@ -15,6 +23,9 @@
 	rumors  []*rumor // fewest transmissions first, after sorting
 	rumorOf map[string]*rumor
 	fresh   bool // some rumor was not pushed yet
+
+	neighbours    []string // receivers of pushes
+	nextNeighbour time.Duration
 }
 
 // rumor is news about a member that is still being sent.
@@ -107,7 +118,7 @@
 	if !c.fresh || len(c.peers) == 0 {
 		return nil
 	}
-	targets := c.pick(c.cfg.PushFanout, func(id string) bool { return c.faults[id] })
+	targets := c.pushTargets(now)
 	updates := c.takeFresh(now, len(targets))
 	var out []Outgoing
 	for _, id := range targets {
@@ -116,6 +127,25 @@
 	return out
 }
 
+// pushTargets returns some of the neighbours. It replaces those that died or
+// cannot be reached, and one of the others from time to time.
+func (c *Core) pushTargets(now time.Duration) []string {
+	c.neighbours = slices.DeleteFunc(c.neighbours, func(id string) bool {
+		m := c.members[id]
+		return m == nil || m.gonePast() || c.faults[id]
+	})
+	if now >= c.nextNeighbour && len(c.neighbours) > 0 {
+		c.nextNeighbour = now + neighbourInterval
+		c.neighbours = slices.Delete(c.neighbours, 0, 1)
+	}
+	c.neighbours = append(c.neighbours, c.pick(neighbourCount-len(c.neighbours), func(id string) bool {
+		return c.faults[id] || slices.Contains(c.neighbours, id)
+	})...)
+	targets := slices.Clone(c.neighbours)
+	c.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(c.cfg.PushFanout, len(targets))]
+}
+
 // takeFresh returns updates that were not pushed yet, within the size bound.
 func (c *Core) takeFresh(now time.Duration, copies int) []Update {
 	c.fresh = false
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -13,6 +13,15 @@
 	"google.golang.org/grpc/credentials"
 )
 
+// sessions is the number of TLS sessions kept for resumption, which saves the
+// signatures of a handshake.
+const sessions = 4096
+
+// curves restricts the key exchange. With the default hybrid exchange a new
+// connection takes 0.4 ms more processor time, and most probes of a large fleet
+// use new connections.
+var curves = []tls.CurveID{tls.CurveP256}
+
 // NodeURI is the prefix of a certificate URI that names a node ID.
 const NodeURI = "urn:hyssopbridge:node:"
 
@@ -93,15 +102,19 @@
 
 func (k *keys) serverCredentials() credentials.TransportCredentials {
 	return credentials.NewTLS(&tls.Config{
-		MinVersion: tls.VersionTLS13,
+		MinVersion:       tls.VersionTLS13,
+		CurvePreferences: curves,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			cert, pool := k.current()
 			return &tls.Config{
-				MinVersion:   tls.VersionTLS13,
-				Certificates: []tls.Certificate{*cert},
-				ClientCAs:    pool,
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				NextProtos:   []string{"h2"},
+				MinVersion:       tls.VersionTLS13,
+				CurvePreferences: curves,
+				Certificates:     []tls.Certificate{*cert},
+				ClientCAs:        pool,
+				ClientAuth:       tls.RequireAndVerifyClientCert,
+				NextProtos:       []string{"h2"},
+				// A resumed session is checked against the current authorities too.
+				VerifyConnection: k.verifyClient,
 			}, nil
 		},
 	})
@@ -112,8 +125,10 @@
 func (k *keys) clientCredentials() credentials.TransportCredentials {
 	return credentials.NewTLS(&tls.Config{
 		MinVersion:         tls.VersionTLS13,
+		CurvePreferences:   curves,
 		InsecureSkipVerify: true,
 		VerifyConnection:   k.verifyServer,
+		ClientSessionCache: tls.NewLRUClientSessionCache(sessions),
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			cert, _ := k.current()
 			return cert, nil
@@ -122,11 +137,21 @@
 }
 
 func (k *keys) verifyServer(cs tls.ConnectionState) error {
+	return k.verify(cs, x509.ExtKeyUsageServerAuth)
+}
+
+func (k *keys) verifyClient(cs tls.ConnectionState) error {
+	return k.verify(cs, x509.ExtKeyUsageClientAuth)
+}
+
+func (k *keys) verify(cs tls.ConnectionState, usage x509.ExtKeyUsage) error {
 	if len(cs.PeerCertificates) == 0 {
-		return errors.New("server sent no certificate")
+		return errors.New("peer sent no certificate")
 	}
 	_, pool := k.current()
-	opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool()}
+	opts := x509.VerifyOptions{
+		Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage},
+	}
 	for _, c := range cs.PeerCertificates[1:] {
 		opts.Intermediates.AddCert(c)
 	}
