--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,285 @@
+package lease
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"hyssopbridge/fleet"
+)
+
+const svc = "svc"
+
+func member(node string, incarnation int64) fleet.Member {
+	return fleet.Member{Node: node, Incarnation: incarnation}
+}
+
+func group(epoch, base int64, members ...fleet.Member) Group {
+	return Group{HomeGroup: fleet.HomeGroup{Service: svc, Epoch: epoch, Members: members}, Base: base}
+}
+
+// answerFrom gives c an answer as a member would have sent it.
+func answerFrom(c *Core, now time.Duration, from fleet.Member, at time.Duration, epoch, active int64) {
+	c.Receive(now, 0, Message{
+		From: from, To: c.Self().Node, AnswerTo: c.Self().Incarnation, AnswerAt: at,
+		Answers: []Answer{{Service: svc, Epoch: epoch, Active: active}},
+	})
+}
+
+func holds(c *Core, now time.Duration) bool {
+	_, _, ok := c.Holds(now, svc)
+	return ok
+}
+
+var a1, b1, c1 = member("a", 1), member("b", 1), member("c", 1)
+
+// Guards against a lease that is counted from the arrival of the answer: the
+// confirming member may have acknowledged a later epoch long before.
+func TestLeaseCountsFromBeforeRequest(t *testing.T) {
+	c := New(a1)
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1, c1)})
+	answerFrom(c, 2*time.Second, b1, 0, 1, 1)
+	if !holds(c, 2*time.Second) {
+		t.Error("no lease although a majority confirmed")
+	}
+	if _, deadline, _ := c.Holds(2*time.Second, svc); deadline != Term {
+		t.Errorf("deadline %v, want %v", deadline, Term)
+	}
+	if holds(c, Term) {
+		t.Error("lease held after the term of the confirmation")
+	}
+}
+
+// Guards against confirmations by a process without memory of what its
+// predecessor acknowledged, and against one that acts for its predecessor.
+func TestRestartedMemberNeitherConfirmsNorActs(t *testing.T) {
+	groups := []Group{group(1, 0, a1, b1)}
+	c := New(a1)
+	c.SetGroups(0, 0, svc, groups)
+	answerFrom(c, 0, member("b", 2), 0, 1, 1)
+	if holds(c, 0) {
+		t.Error("a later incarnation confirmed")
+	}
+	restarted := New(member("a", 2))
+	restarted.SetGroups(0, 0, svc, groups)
+	answerFrom(restarted, 0, b1, 0, 1, 1)
+	if holds(restarted, 0) {
+		t.Error("a later incarnation acts")
+	}
+}
+
+// Guards against acknowledgements counted from answers that leave the member
+// free to confirm the base epoch.
+func TestActivationCountsOnlyAcknowledgements(t *testing.T) {
+	for name, tc := range map[string]struct {
+		from   fleet.Member
+		epoch  int64
+		active bool
+	}{
+		"acknowledged":             {b1, 2, true},
+		"knows the base only":      {b1, 1, false},
+		"restarted":                {member("b", 2), 0, true},
+		"message of older process": {member("b", 0), 2, false},
+		"not a member":             {member("d", 1), 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(a1)
+			c.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1, c1), group(2, 1, a1, c1)})
+			answerFrom(c, time.Second, tc.from, time.Second, tc.epoch, 0)
+			c.Tick(time.Second+Term+DriftMargin-1, 0)
+			if _, _, ok := c.ActiveSince(svc); ok {
+				t.Error("active before the wait")
+			}
+			c.Tick(time.Second+Term+DriftMargin, 7)
+			if _, wall, ok := c.ActiveSince(svc); ok != tc.active || ok && wall != 7 {
+				t.Errorf("active %v at wall %d, want %v at 7", ok, wall, tc.active)
+			}
+		})
+	}
+}
+
+// Guards against a process that counts itself as successor of a later one.
+func TestOlderSelfDoesNotAcknowledge(t *testing.T) {
+	c := New(a1)
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, member("a", 5)), group(2, 1, a1)})
+	c.Tick(time.Hour, 0)
+	if holds(c, time.Hour) {
+		t.Error("epoch 2 is active although the member of epoch 1 may act")
+	}
+}
+
+// Guards against the use of answers that were meant for an earlier process:
+// their time is of another clock.
+func TestAnswersToEarlierProcessAreIgnored(t *testing.T) {
+	c := New(member("a", 2))
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, member("a", 2), b1)})
+	c.Receive(0, 0, Message{From: b1, To: "a", AnswerTo: 1, AnswerAt: time.Hour, Answers: []Answer{{Service: svc, Epoch: 1}}})
+	if holds(c, 0) {
+		t.Error("lease from an answer to an earlier process")
+	}
+}
+
+// Guards against a host node that starts orders of a replaced home.
+func TestAdmitsRefusesEarlierEpochs(t *testing.T) {
+	c := New(a1)
+	if !c.Admits(0, svc, 4) {
+		t.Error("epoch 4 refused by a node that knows none")
+	}
+	if c.Admits(0, svc, 3) {
+		t.Error("epoch 3 admitted after 4")
+	}
+	c.Receive(0, 0, Message{From: b1, To: "a", Asks: []Ask{{Service: svc, Epoch: 5}}})
+	if c.Admits(0, svc, 4) {
+		t.Error("epoch 4 admitted after 5 was acknowledged")
+	}
+}
+
+// Guards against groups of one or two members that cannot act, or act alone.
+func TestSmallGroups(t *testing.T) {
+	one := New(a1)
+	one.SetGroups(0, 0, svc, []Group{group(1, 0, a1)})
+	if !holds(one, time.Hour) {
+		t.Error("a single member does not hold its lease")
+	}
+	two := New(a1)
+	two.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1)})
+	if holds(two, 0) {
+		t.Error("one of two members holds the lease alone")
+	}
+	answerFrom(two, 0, b1, 0, 1, 0)
+	if !holds(two, 0) {
+		t.Error("no lease although both members confirmed")
+	}
+}
+
+// Guards against more than one message per peer, and against renewals for
+// services that are not in use.
+func TestMessagesAreBatchedPerPeer(t *testing.T) {
+	c := New(a1)
+	for _, name := range []string{"s1", "s2", "s3"} {
+		g := group(1, 0, a1, b1)
+		g.Service = name
+		c.SetGroups(0, 0, name, []Group{g})
+	}
+	c.Use(0, "s1")
+	c.Use(0, "s3")
+	out := c.Tick(0, 0)
+	if len(out.Messages) != 1 || len(out.Messages[0].Asks) != 2 {
+		t.Fatalf("messages %+v, want one with two requests", out.Messages)
+	}
+	if out = c.Tick(InUseFor+RenewEvery, 0); len(out.Messages) != 0 {
+		t.Errorf("messages %+v for unused services", out.Messages)
+	}
+}
+
+// Guards against a leaving member that stops while the next group needs it.
+func TestMayStopOnlyAfterSuccessorIsActive(t *testing.T) {
+	c := New(a1)
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1)})
+	if c.MayStop() {
+		t.Error("a member may stop")
+	}
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1), group(2, 1, b1, c1)})
+	if c.MayStop() {
+		t.Error("may stop before the next group is active")
+	}
+	answerFrom(c, time.Second, b1, time.Second, 2, 2)
+	if !c.MayStop() {
+		t.Error("may not stop although the next group is active")
+	}
+}
+
+func candidates(dead string, nodes ...string) []Candidate {
+	var out []Candidate
+	for i, n := range nodes {
+		k := Candidate{Member: member(n, 1), Zone: string(rune('x' + i%3))}
+		if n == dead {
+			k.Condition = Dead
+		}
+		out = append(out, k)
+	}
+	return out
+}
+
+// Guards against proposals that are early, simultaneous, made without an
+// active epoch, or made by a minority.
+func TestProposals(t *testing.T) {
+	groups := []Group{group(1, 0, a1, b1, c1)}
+	proposedAt := func(self fleet.Member, reach bool) time.Duration {
+		c := New(self)
+		c.SetGroups(0, 0, svc, groups)
+		c.SetCandidates(svc, candidates("c", "a", "b", "c"))
+		for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+			for _, m := range []fleet.Member{a1, b1} {
+				if reach && m != self {
+					answerFrom(c, now, m, now, 1, 1)
+				}
+			}
+			if out := c.Tick(now, 0); len(out.Proposals) > 0 {
+				if p := out.Proposals[0]; p.Base != 1 || !slices.Equal(p.Members, []fleet.Member{a1, b1}) {
+					t.Errorf("proposal %+v, want members a and b on base 1", p)
+				}
+				return now
+			}
+		}
+		return -1
+	}
+	times := []time.Duration{proposedAt(a1, true), proposedAt(b1, true)}
+	slices.Sort(times)
+	if times[0] != ProposeAfter || times[1] != ProposeAfter+RankDelay {
+		t.Errorf("proposals at %v, want %v and %v", times, ProposeAfter, ProposeAfter+RankDelay)
+	}
+	if at := proposedAt(a1, false); at >= 0 {
+		t.Errorf("a minority proposed at %v", at)
+	}
+	groups = []Group{group(1, 9, a1, b1, c1)}
+	if c := New(a1); true {
+		c.SetGroups(0, 0, svc, groups)
+		c.SetCandidates(svc, candidates("c", "a", "b", "c"))
+		for now := time.Duration(0); now < time.Minute; now += time.Second {
+			answerFrom(c, now, b1, now, 1, 0)
+			if out := c.Tick(now, 0); len(out.Proposals) > 0 {
+				t.Fatal("proposal although the current epoch is not known to be active")
+			}
+		}
+	}
+}
+
+// Guards against groups that are too large or share one zone without need.
+func TestFirstGroupSpreadsOverZones(t *testing.T) {
+	c := New(member("a", 1))
+	c.SetCandidates(svc, candidates("", "a", "b", "c", "d", "e", "f", "g", "h", "i"))
+	var got []fleet.Member
+	for now := time.Duration(0); got == nil && now < time.Minute; now += time.Second {
+		for _, p := range c.Tick(now, 0).Proposals {
+			got = p.Members
+		}
+	}
+	zones := map[byte]int{}
+	for _, m := range got {
+		zones[(m.Node[0]-'a')%3]++
+	}
+	if len(got) != MaxMembers || len(zones) != 3 || zones[0] > 2 || zones[1] > 2 || zones[2] > 2 {
+		t.Errorf("members %v are not %d over 3 zones", got, MaxMembers)
+	}
+}
+
+// Guards against a home that moves when the order of members or an
+// incarnation changes.
+func TestHomeDependsOnNodesOnly(t *testing.T) {
+	g := group(1, 0, a1, b1, c1).HomeGroup
+	h := group(2, 1, c1, member("a", 7), b1).HomeGroup
+	seen := map[string]bool{}
+	for i := range 100 {
+		key := string(rune('A' + i))
+		x, _ := HomeIn(g, key)
+		y, _ := HomeIn(h, key)
+		if x.Node != y.Node {
+			t.Errorf("key %q moved from %v to %v", key, x, y)
+		}
+		seen[x.Node] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("only %v are homes", seen)
+	}
+}
--- a/once/sim_node_test.go
+++ b/once/sim_node_test.go
@@ -21,6 +21,7 @@
 
 	up, paused, leaving bool
 	leavingFor          int // ticks
+	forceHost           int // index of the host node to use; 0 for any
 	member              fleet.Member
 	core                *lease.Core
 	store               *Store
@@ -281,6 +282,9 @@
 		return
 	}
 	host := n.w.rng.IntN(len(n.w.nodes))
+	if n.forceHost > 0 {
+		host = n.forceHost
+	}
 	n.next(func() {
 		if !n.w.nodes[host].up || n.w.cut[[2]int{n.index, host}] {
 			a.notRun(resultcode.PeerUnreachable)
--- /dev/null
+++ b/once/store_test.go
@@ -0,0 +1,207 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/lease"
+	"hyssopbridge/resultcode"
+)
+
+var self, other, third = fleet.Member{Node: "a", Incarnation: 1}, fleet.Member{Node: "b", Incarnation: 1}, fleet.Member{Node: "c", Incarnation: 1}
+
+const (
+	startMS = int64(1_700_000_000_000)
+	dayMS   = int64(24 * 3600 * 1000)
+)
+
+func grp(epoch, base, acceptedMS int64, members ...fleet.Member) lease.Group {
+	return lease.Group{HomeGroup: fleet.HomeGroup{Service: "s", Epoch: epoch, Members: members}, Base: base, AcceptedMS: acceptedMS}
+}
+
+func orderAt(ms int64, n int) Request {
+	return Request{Key: Key{"s", "c", "r", fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)}, Epoch: 2}
+}
+
+func opaque(value string) Request { return Request{Key: Key{"s", "c", "r", value}, Epoch: 2} }
+
+// successor returns a store whose epoch 2 replaced the group of other at startMS.
+func successor(cfg Config) *Store {
+	s := New(cfg, self)
+	s.Activate("s", []lease.Group{grp(1, 0, startMS-dayMS, other), grp(2, 1, startMS-5000, self)}, startMS)
+	return s
+}
+
+func want(t *testing.T, name string, d Decision, action Action, code resultcode.Code) {
+	t.Helper()
+	if d.Action != action || d.Code != code {
+		t.Errorf("%s: %v %v, want %v %v", name, d.Action, d.Code, action, code)
+	}
+}
+
+// Guards against a run without proof when there is no record. In particular a
+// key counts as new only if neither a caller's clock nor the difference
+// between two homes' clocks can have let an earlier home accept it.
+func TestMissingRecord(t *testing.T) {
+	s := successor(Config{})
+	wall := startMS + 60_000
+	want(t, "new", s.Begin(0, wall, orderAt(startMS+NewMS+1, 1)), Run, 0)
+	want(t, "issued within both skews", s.Begin(0, wall, orderAt(startMS+FutureMS+NodeSkewMS-1, 2)), AskPrevious, 0)
+	want(t, "issued before", s.Begin(0, wall, orderAt(startMS-60_000, 3)), AskPrevious, 0)
+	want(t, "opaque", s.Begin(0, wall, opaque("x")), AskPrevious, 0)
+	want(t, "future", s.Begin(0, wall, orderAt(wall+FutureMS+1, 4)), Refuse, resultcode.KeyFromFuture)
+	want(t, "older than the window", s.Begin(0, wall, orderAt(wall-dayMS, 5)), Refuse, resultcode.RecordLost)
+	want(t, "opaque after the window", s.Begin(0, startMS+dayMS+NewMS+1, opaque("y")), Run, 0)
+	want(t, "without lease", s.Begin(0, wall, Request{Key: Key{"s", "c", "r", "z"}, Epoch: 1}), Refuse, resultcode.NoLease)
+}
+
+// Guards against a run when the accepted groups of the window are not known.
+func TestGapInHistory(t *testing.T) {
+	s := New(Config{}, self)
+	s.Activate("s", []lease.Group{grp(2, 1, startMS-5000, self)}, startMS)
+	want(t, "opaque", s.Begin(0, startMS+60_000, opaque("x")), Refuse, resultcode.RecordLost)
+	want(t, "new", s.Begin(0, startMS+60_000, orderAt(startMS+50_000, 1)), Run, 0)
+}
+
+// Guards against a wrong outcome for any reply of an earlier home.
+func TestResolve(t *testing.T) {
+	hash := PayloadHash{}
+	answer := &Answer{Status: 201}
+	for name, tc := range map[string]struct {
+		reply  Reply
+		action Action
+		code   resultcode.Code
+	}{
+		"never run":       {Reply{From: other, OK: true, Entry: Entry{State: Barred}}, Run, 0},
+		"not run":         {Reply{From: other, OK: true, Entry: Entry{State: NotRun}}, Run, 0},
+		"running":         {Reply{From: other, OK: true, Entry: Entry{State: Running}}, Refuse, resultcode.StillRunning},
+		"answered":        {Reply{From: other, OK: true, Entry: Entry{State: Answered, Answer: answer, Hash: hash}}, Replay, 0},
+		"answer not kept": {Reply{From: other, OK: true, Entry: Entry{State: Answered}}, Refuse, resultcode.AnswerNotKept},
+		"unknown":         {Reply{From: other, OK: true, Entry: Entry{State: Unknown}}, Refuse, resultcode.UnknownOutcome},
+		"other payload":   {Reply{From: other, OK: true, Entry: Entry{State: Answered, Hash: PayloadHash{1}}}, Refuse, resultcode.KeyReused},
+		"no reply":        {Reply{From: other}, Refuse, resultcode.RecordLost},
+		"later process":   {Reply{From: fleet.Member{Node: "b", Incarnation: 2}, OK: true}, Refuse, resultcode.RecordLost},
+	} {
+		s := successor(Config{})
+		want(t, name, s.Begin(0, startMS, opaque("x")), AskPrevious, 0)
+		want(t, name, s.Resolve(0, startMS, opaque("x"), []Reply{tc.reply}), tc.action, tc.code)
+	}
+}
+
+// Guards against a wrong outcome of a resend at the same home.
+func TestResend(t *testing.T) {
+	q := orderAt(startMS+NewMS+1, 1)
+	reused := q
+	reused.Hash = PayloadHash{1}
+	wall := startMS + 10_000
+	begin := func() (*Store, uint32) {
+		s := successor(Config{MaxAnswer: 10})
+		return s, s.Begin(0, wall, q).Attempt
+	}
+	s, attempt := begin()
+	want(t, "running", s.Begin(0, wall, q), Join, 0)
+	want(t, "running, other payload", s.Begin(0, wall, reused), Refuse, resultcode.KeyReused)
+	s.Finished(q.Key, attempt, &Answer{Body: []byte("0123456789")})
+	want(t, "answered", s.Begin(0, wall, q), Replay, 0)
+	if s.NotRun(q.Key, attempt) || s.Unknown(q.Key, attempt) {
+		t.Error("an answered order changed its state")
+	}
+	s, attempt = begin()
+	s.Finished(q.Key, attempt, &Answer{Body: []byte("0123456789+")})
+	want(t, "large answer", s.Begin(0, wall, q), Refuse, resultcode.AnswerNotKept)
+	s, attempt = begin()
+	s.Unknown(q.Key, attempt)
+	want(t, "unknown", s.Begin(0, wall, q), Refuse, resultcode.UnknownOutcome)
+	s.NotRun(q.Key, attempt)
+	want(t, "not run", s.Begin(0, wall, q), Run, 0)
+	if s.Finished(q.Key, attempt, nil) {
+		t.Error("an earlier attempt finished the later one")
+	}
+}
+
+// Guards against a second run by a home that was paused between the lease
+// check and Begin while a later home looked the key up.
+func TestLookupBarsEarlierEpochs(t *testing.T) {
+	s := successor(Config{})
+	q := orderAt(startMS+NewMS+1, 1)
+	if r := s.Lookup(0, self, q.Key, 3); !r.OK || r.Entry.State != Barred {
+		t.Errorf("reply %+v, want barred", r)
+	}
+	want(t, "barred", s.Begin(0, startMS+10_000, q), Refuse, resultcode.NoLease)
+	if r := s.Lookup(0, fleet.Member{Node: "a", Incarnation: 0}, q.Key, 3); r.OK {
+		t.Error("a process answered for its predecessor")
+	}
+}
+
+// Guards against a forgotten record: a full store refuses new keys and drops
+// answers only.
+func TestFullStore(t *testing.T) {
+	s := successor(Config{MaxRecords: 2, MaxBytes: 3 * recordBytes})
+	wall := startMS + 10_000
+	q, r := orderAt(startMS+NewMS+1, 1), orderAt(startMS+NewMS+1, 2)
+	s.Finished(q.Key, s.Begin(0, wall, q).Attempt, &Answer{Body: make([]byte, recordBytes)})
+	want(t, "answer kept", s.Begin(0, wall, q), Replay, 0)
+	want(t, "second", s.Begin(0, wall, r), Run, 0)
+	want(t, "answer dropped for room", s.Begin(0, wall, q), Refuse, resultcode.AnswerNotKept)
+	want(t, "full", s.Begin(0, wall, orderAt(startMS+NewMS+1, 3)), Refuse, resultcode.ClassShed)
+	want(t, "still known", s.Begin(23*time.Hour, wall, r), Join, 0)
+	if rep := s.Lookup(0, self, opaque("x").Key, 3); rep.OK {
+		t.Error("a full store answered a lookup without keeping the bar")
+	}
+	want(t, "after the window", s.Begin(25*time.Hour, wall, orderAt(startMS+NewMS+1, 4)), Run, 0)
+}
+
+// Guards against records that expire inside the window, at any offset of the
+// start time within an expiry bucket.
+func TestWindow(t *testing.T) {
+	for _, at := range []time.Duration{0, 7 * time.Minute, bucketTime - 1} {
+		s := successor(Config{})
+		q := opaque("x")
+		s.records[q.Key.Scoped()] = nil
+		delete(s.records, q.Key.Scoped())
+		r := s.insert(q.Key.Scoped(), at)
+		r.state, r.attempt = Answered, 1
+		s.sweep(at + DefaultWindow)
+		if n, _ := s.Size(); n != 1 {
+			t.Errorf("record of %v expired inside the window", at)
+		}
+		s.sweep(at + DefaultWindow + 3*bucketTime)
+		if n, bytes := s.Size(); n != 0 || bytes != 0 {
+			t.Errorf("%d records, %d bytes are left after the window", n, bytes)
+		}
+	}
+}
+
+// Guards against customers or routes that share a record.
+func TestKeysAreScoped(t *testing.T) {
+	keys := []Key{{"s", "c", "r", "v"}, {"s", "d", "r", "v"}, {"s", "c", "q", "v"}, {"t", "c", "r", "v"}, {"s", "cr", "", "v"}, {"s", "c", "rv", ""}}
+	seen := map[string]Key{}
+	for _, k := range keys {
+		if other, ok := seen[k.Scoped()]; ok {
+			t.Errorf("keys %v and %v share a record", k, other)
+		}
+		seen[k.Scoped()] = k
+	}
+}
+
+// Guards against an issue time read from a key that is not a UUIDv7.
+func TestIssuedMS(t *testing.T) {
+	for value, want := range map[string]int64{
+		"018bcfe5-6800-7000-8000-000000000001": startMS,
+		"018BCFE5-6800-7FFF-BFFF-000000000001": startMS,
+		"018bcfe5-6800-4000-8000-000000000001": -1,
+		"018bcfe5-6800-7000-c000-000000000001": -1,
+		"018bcfe5-6800-7000-0000-000000000001": -1,
+		"018bcfe56800-7000-8000-0000000000001": -1,
+		"018bcfe5-6800-7000-8000-00000000000g": -1,
+		"018bcfe5-6800-7000-8000-00000000001":  -1,
+		"":                                     -1,
+	} {
+		got, ok := IssuedMS(value)
+		if ok != (want >= 0) || ok && got != want {
+			t.Errorf("IssuedMS(%q) = %d, %v; want %d", value, got, ok, want)
+		}
+	}
+}
