--- a/lease/core.go
+++ b/lease/core.go
@@ -130,15 +130,18 @@
 
 func majority(n int) int { return n/2 + 1 }
 
-// Use marks a service as in use, so that its lease is renewed for InUseFor.
+// Use marks a service as in use, so that its lease is renewed for InUseFor. The
+// first use without a lease asks at once; while a majority does not answer,
+// further uses wait for the usual renewals.
 func (c *Core) Use(now time.Duration, name string) {
 	s := c.services[name]
 	if s == nil {
 		return
 	}
 	s.usedUntil = now + InUseFor
-	if _, _, ok := c.Holds(now, name); !ok && !s.waiting {
-		s.waiting = true
+	_, _, held := c.Holds(now, name)
+	if !held && !s.waiting {
 		c.urgent = true
 	}
+	s.waiting = !held
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,10 +1,13 @@
 package lease
 
 import (
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"hyssopbridge/fleet"
 )
 
@@ -172,6 +175,36 @@
 	}
 }
 
+// Guards against a request per use while a majority does not answer.
+func TestUseWithoutMajorityKeepsRenewalRate(t *testing.T) {
+	c := New(a1)
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1, c1)})
+	sent := 0
+	for now := time.Duration(0); now < 15*time.Second; now += 100 * time.Millisecond {
+		c.Use(now, svc)
+		sent += len(c.Tick(now, 0).Messages)
+	}
+	if sent > 22 {
+		t.Errorf("%d messages to 2 peers in 15 s, want at most 22", sent)
+	}
+}
+
+// Guards against a field that the wire form omits.
+func TestMessageEncoding(t *testing.T) {
+	want := Message{
+		From: member("a", 3), To: "b", AskedAt: 5, AnswerTo: 6, AnswerAt: 7,
+		Asks: []Ask{{"s", 1}}, Answers: []Answer{{"t", 2, 3}},
+	}
+	data, err := cbor.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Message
+	if err := cbor.Unmarshal(data, &got); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v, %v; want %+v", got, err, want)
+	}
+}
+
 // Guards against a leaving member that stops while the next group needs it.
 func TestMayStopOnlyAfterSuccessorIsActive(t *testing.T) {
 	c := New(a1)
--- a/lease/tick.go
+++ b/lease/tick.go
@@ -28,7 +28,6 @@
 func (c *Core) asks(now time.Duration) []Message {
 	byPeer := map[string][]Ask{}
 	for _, s := range c.mine {
-		s.waiting = false
 		if !s.wantsAsk(now) {
 			continue
 		}
