--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -69,6 +69,13 @@
 	if holds(restarted, 0) {
 		t.Error("a later incarnation acts")
 	}
+	three := New(member("a", 2))
+	three.SetGroups(0, 0, svc, []Group{group(1, 0, a1, b1, c1)})
+	answerFrom(three, 0, b1, 0, 1, 1)
+	answerFrom(three, 0, c1, 0, 1, 1)
+	if holds(three, 0) {
+		t.Error("a later incarnation acts with the confirmations of the others")
+	}
 }
 
 // Guards against acknowledgements counted from answers that leave the member
--- a/once/sim_node_test.go
+++ b/once/sim_node_test.go
@@ -100,7 +100,7 @@
 }
 
 func (n *simNode) control() {
-	if !n.w.logDown && n.known < len(n.w.log) && n.w.rng.IntN(10) == 0 {
+	if !n.w.logDown && !n.w.logCut[n.index] && n.known < len(n.w.log) && n.w.rng.IntN(10) == 0 {
 		n.known = len(n.w.log)
 		n.core.SetGroups(n.mono(), n.wall(), simService, n.w.log[:n.known])
 	}
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -19,7 +19,7 @@
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "80", "rapid.nofailfile": "true",
+		"rapid.seed": "20261204", "rapid.checks": "800", "rapid.steps": "80", "rapid.nofailfile": "true",
 	} {
 		if !given[name] {
 			if err := flag.Set(name, value); err != nil {
@@ -62,7 +62,9 @@
 			pair := [2]int{node.Draw(t, "from"), node.Draw(t, "to")}
 			w.cut[pair] = !w.cut[pair] && pair[0] != pair[1]
 		},
-		"heal":       func(*rapid.T) { clear(w.cut); clear(w.falseDead) },
+		"heal":       func(*rapid.T) { clear(w.cut); clear(w.falseDead); clear(w.logCut) },
+		"log cut":    func(t *rapid.T) { n := pick(t); w.logCut[n.index] = !w.logCut[n.index] },
+		"isolate":    func(t *rapid.T) { w.isolate(node.Draw(t, "node"), rapid.Bool().Draw(t, "one way")) },
 		"pause":      func(t *rapid.T) { n := pick(t); n.paused = n.up && !n.paused },
 		"resume":     func(*rapid.T) { w.resume() },
 		"crash":      func(t *rapid.T) { pick(t).crash() },
@@ -79,6 +81,21 @@
 	}
 }
 
+// isolate cuts a node off from the log and from sending, and unless oneWay
+// also from receiving.
+func (w *world) isolate(node int, oneWay bool) {
+	w.logCut[node] = true
+	for i := range w.nodes {
+		if i == node {
+			continue
+		}
+		w.cut[[2]int{node, i}] = true
+		if !oneWay {
+			w.cut[[2]int{i, node}] = true
+		}
+	}
+}
+
 func (n *simNode) restart() {
 	if !n.up {
 		n.start()
@@ -125,6 +142,7 @@
 func (w *world) settle() {
 	clear(w.cut)
 	clear(w.falseDead)
+	clear(w.logCut)
 	w.lossy = false
 	w.logDown = false
 	w.resume()
--- a/once/sim_world_test.go
+++ b/once/sim_world_test.go
@@ -29,6 +29,7 @@
 	falseDead  map[int]bool // nodes that membership wrongly reports as dead
 	lossy      bool
 	logDown    bool
+	logCut     map[int]bool // nodes that cannot read the log
 	log        []lease.Group
 
 	calls   []*call
@@ -62,6 +63,7 @@
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		cut:       map[[2]int]bool{},
 		falseDead: map[int]bool{},
+		logCut:    map[int]bool{},
 		lossy:     true,
 		runs:      map[Key]int{},
 	}
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -135,6 +135,27 @@
 	}
 }
 
+// Guards against a second run by a home that becomes home again: the home
+// between may have run the key that was not run before.
+func TestNotRunCountsOnlyInItsEpoch(t *testing.T) {
+	chain := []lease.Group{grp(1, 0, startMS-9000, self), grp(2, 1, startMS-8000, other), grp(3, 2, startMS-7000, self)}
+	s := New(Config{}, self)
+	s.Activate("s", chain[:1], startMS-9000)
+	q := opaque("x")
+	q.Epoch = 1
+	s.NotRun(q.Key, s.Begin(0, startMS-8500, q).Attempt)
+	want(t, "same epoch", s.Begin(0, startMS-8500, q), Run, 0)
+	s.NotRun(q.Key, 2)
+	s.Activate("s", chain, startMS)
+	q.Epoch = 3
+	d := s.Begin(0, startMS, q)
+	want(t, "home again", d, AskPrevious, 0)
+	if len(d.Ask) != 1 || d.Ask[0] != other {
+		t.Errorf("asks %v, want the home between", d.Ask)
+	}
+	want(t, "run between", s.Resolve(0, startMS, q, []Reply{{From: other, OK: true, Entry: Entry{State: Answered}}}), Refuse, resultcode.AnswerNotKept)
+}
+
 // Guards against a forgotten record: a full store refuses new keys and drops
 // answers only.
 func TestFullStore(t *testing.T) {
