Add lease.View, an immutable copy for traffic goroutines

Traffic takes no lock shared with the control loop, so it reads leases, fences and homes from a copy that the control loop replaces after each tick.

--- a/lease/bench_test.go
+++ b/lease/bench_test.go
@@ -10,18 +10,20 @@
 	"hyssopbridge/fleet"
 )
 
-// benchCores returns a node with 10 groups of 5 members and its 40 distinct
-// peers, with all services in use.
-func benchCores() (*Core, map[string]*Core) {
+// benchCores returns a node with 10 groups of 5 members and its distinct peers,
+// 4 or 40, with all services in use.
+func benchCores(distinct int) (*Core, map[string]*Core) {
 	node := New(member("host-000", 1_700_000_000_000))
 	cores := map[string]*Core{}
 	for g := range 10 {
 		gr := Group{HomeGroup: fleet.HomeGroup{Service: fmt.Sprintf("service-%04d", g), Epoch: 1_000_000 + int64(g)}}
 		gr.Members = append(gr.Members, node.Self())
 		for p := range 4 {
-			m := member(fmt.Sprintf("host-%03d", 1+g*4+p), 1_700_000_000_000)
+			m := member(fmt.Sprintf("host-%03d", 1+(g*4+p)%distinct), 1_700_000_000_000)
 			gr.Members = append(gr.Members, m)
-			cores[m.Node] = New(m)
+			if cores[m.Node] == nil {
+				cores[m.Node] = New(m)
+			}
 		}
 		for _, c := range cores {
 			c.SetGroups(0, 0, gr.Service, []Group{gr})
@@ -35,7 +37,13 @@
 // receives per second of protocol time for its own renewals and those of its
 // peers.
 func BenchmarkRenewal(b *testing.B) {
-	node, peers := benchCores()
+	for _, distinct := range []int{40, 4} {
+		b.Run(fmt.Sprintf("peers=%d", distinct), func(b *testing.B) { renew(b, distinct) })
+	}
+}
+
+func renew(b *testing.B, distinct int) {
+	node, peers := benchCores(distinct)
 	messages, bytes := 0, 0
 	count := func(m Message) {
 		data, err := cbor.Marshal(m)
@@ -75,7 +83,7 @@
 }
 
 func BenchmarkHolds(b *testing.B) {
-	node, peers := benchCores()
+	node, peers := benchCores(40)
 	node.Use(0, "service-0003")
 	for _, m := range node.Tick(0, 0).Messages {
 		reply, _ := peers[m.To].Receive(0, 0, m)
--- a/lease/core.go
+++ b/lease/core.go
@@ -14,7 +14,8 @@
 	services map[string]*service
 	mine     []*service // services whose current or base group names this node, by name
 	nextAsk  time.Duration
-	urgent   bool // a service needs confirmation before the next renewal
+	urgent   bool                  // a service needs confirmation before the next renewal
+	known    map[string]knownGroup // shared by views; nil after a change
 }
 
 // service is the view of one service.
@@ -75,7 +76,8 @@
 	}
 	s.current = last
 	s.base, s.hasBase = findBase(groups, last.Base)
-	s.floor = max(s.floor, last.Epoch)
+	c.known = nil
+	c.raise(s, last.Epoch)
 	s.learned = now
 	clear(s.acks)
 	clear(s.confirmed)
@@ -128,6 +130,14 @@
 	return slices.IndexFunc(candidates, func(m Candidate) bool { return m.Node == node })
 }
 
+// raise refuses all epochs of a service before the given one.
+func (c *Core) raise(s *service, epoch int64) {
+	if epoch > s.floor {
+		s.floor = epoch
+		c.known = nil
+	}
+}
+
 func majority(n int) int { return n/2 + 1 }
 
 // Use marks a service as in use, so that its lease is renewed for InUseFor. The
--- a/lease/holds.go
+++ b/lease/holds.go
@@ -67,7 +67,7 @@
 	if epoch < s.floor {
 		return false
 	}
-	s.floor = epoch
+	c.raise(s, epoch)
 	return true
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -144,6 +144,38 @@
 	}
 }
 
+// Guards against a view that changes, that outlives its lease, or that misses
+// a change of a floor or group.
+func TestView(t *testing.T) {
+	c := New(a1)
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1)})
+	old := c.View(0)
+	c.Receive(0, 0, Message{From: b1, To: "a", Asks: []Ask{{Service: svc, Epoch: 2}}})
+	if _, ok := old.Holds(Term-1, svc); !ok {
+		t.Error("a granted lease ended before its deadline")
+	}
+	if _, ok := old.Holds(Term, svc); ok {
+		t.Error("a lease outlives its deadline")
+	}
+	if admitted, _ := old.Admits(svc, 1); !admitted {
+		t.Error("a view changed")
+	}
+	now := c.View(0)
+	if _, ok := now.Holds(0, svc); ok {
+		t.Error("a lease is granted after a later epoch was acknowledged")
+	}
+	if admitted, _ := now.Admits(svc, 1); admitted {
+		t.Error("the view misses the acknowledged epoch")
+	}
+	if admitted, unseen := now.Admits(svc, 3); !admitted || !unseen {
+		t.Error("an order of a later epoch is refused or not reported")
+	}
+	c.SetGroups(0, 0, svc, []Group{group(1, 0, a1), group(2, 1, b1)})
+	if home, ok := c.View(0).Home(svc, "k"); !ok || home != b1 {
+		t.Errorf("home %v, want %v", home, b1)
+	}
+}
+
 // Guards against groups of one or two members that cannot act, or act alone.
 func TestSmallGroups(t *testing.T) {
 	one := New(a1)
--- a/lease/receive.go
+++ b/lease/receive.go
@@ -31,7 +31,7 @@
 // here yet, and states the latest epoch.
 func (c *Core) answer(a Ask) Answer {
 	s := c.service(a.Service)
-	s.floor = max(s.floor, a.Epoch)
+	c.raise(s, a.Epoch)
 	return Answer{Service: a.Service, Epoch: s.floor, Active: s.activeEpoch}
 }
 
@@ -40,7 +40,7 @@
 	if s == nil {
 		return
 	}
-	s.floor = max(s.floor, a.Epoch)
+	c.raise(s, a.Epoch)
 	s.setActive(a.Active, wallMS)
 	s.noteAck(now, m.From, a.Epoch)
 	s.noteHeard(m.From, m.AnswerAt)
