--- a/once/store.go
+++ b/once/store.go
@@ -30,8 +30,9 @@
 	edges      []Edge
 }
 
-// recordBytes is the accounted size of a record without key and answer.
-const recordBytes = 240
+// recordBytes is the accounted size of a record without key and answer. With
+// it, 100000 records account for the heap that they take.
+const recordBytes = 300
 
 // New returns an empty store of a process that has just started.
 func New(cfg Config, self fleet.Member) *Store {
