--- a/once/store.go
+++ b/once/store.go
@@ -62,6 +62,7 @@
 	v.chain = chain
 	v.activeWall = activeWallMS
 	v.dropEdges()
+	s.dropImports(name, chain[0].Epoch)
 }
 
 // Close ends the runs of a service at this node in all epochs before the given
@@ -103,6 +104,15 @@
 	v.edges = kept
 }
 
+// dropImports forgets unfinished hand-overs of epochs before the given one.
+func (s *Store) dropImports(name string, epoch int64) {
+	for k := range s.imports {
+		if k.service == name && k.epoch < epoch {
+			delete(s.imports, k)
+		}
+	}
+}
+
 func (v *service) addEdges(edges []Edge) {
 	for _, e := range edges {
 		if !v.hasEdge(e) {
