--- a/once/sim_node_test.go
+++ b/once/sim_node_test.go
@@ -21,6 +21,7 @@
 
 	up, paused, leaving bool
 	leavingFor          int // ticks
+	forceHost           int // index of the host node to use; 0 for any
 	member              fleet.Member
 	core                *lease.Core
 	store               *Store
@@ -99,7 +100,7 @@
 }
 
 func (n *simNode) control() {
-	if !n.w.logDown && n.known < len(n.w.log) && n.w.rng.IntN(10) == 0 {
+	if !n.w.logDown && !n.w.logCut[n.index] && n.known < len(n.w.log) && n.w.rng.IntN(10) == 0 {
 		n.known = len(n.w.log)
 		n.core.SetGroups(n.mono(), n.wall(), simService, n.w.log[:n.known])
 	}
@@ -281,6 +282,9 @@
 		return
 	}
 	host := n.w.rng.IntN(len(n.w.nodes))
+	if n.forceHost > 0 {
+		host = n.forceHost
+	}
 	n.next(func() {
 		if !n.w.nodes[host].up || n.w.cut[[2]int{n.index, host}] {
 			a.notRun(resultcode.PeerUnreachable)
--- a/once/store.go
+++ b/once/store.go
@@ -30,8 +30,9 @@
 	edges      []Edge
 }
 
-// recordBytes is the accounted size of a record without key and answer.
-const recordBytes = 240
+// recordBytes is the accounted size of a record without key and answer. With
+// it, 100000 records account for the heap that they take.
+const recordBytes = 300
 
 // New returns an empty store of a process that has just started.
 func New(cfg Config, self fleet.Member) *Store {
@@ -61,6 +62,7 @@
 	v.chain = chain
 	v.activeWall = activeWallMS
 	v.dropEdges()
+	s.dropImports(name, chain[0].Epoch)
 }
 
 // Close ends the runs of a service at this node in all epochs before the given
@@ -102,6 +104,15 @@
 	v.edges = kept
 }
 
+// dropImports forgets unfinished hand-overs of epochs before the given one.
+func (s *Store) dropImports(name string, epoch int64) {
+	for k := range s.imports {
+		if k.service == name && k.epoch < epoch {
+			delete(s.imports, k)
+		}
+	}
+}
+
 func (v *service) addEdges(edges []Edge) {
 	for _, e := range edges {
 		if !v.hasEdge(e) {
