Strengthen tests that altered code survived

Trials on a scratch copy with 45 alterations of the code: survivors were a table whose older version changes with it, momentary reported load, ejection of cold targets below the floor, a slot granted while its caller leaves, the fallback of a node that is cut off, and subset places per tier. Each now has a check that fails on the alteration.

--- a/limits/rate_test.go
+++ b/limits/rate_test.go
@@ -89,6 +89,11 @@
 		if now%(5*time.Millisecond) != 0 {
 			continue
 		}
+		select {
+		case <-l.Wake():
+		default:
+			continue
+		}
 		for _, b := range l.Due(now) {
 			var owner int
 			_, _ = fmt.Sscanf(b.Owner, "n%d", &owner)
@@ -248,7 +253,7 @@
 		if a.over > 0.10 {
 			t.Errorf("%s at %v/s: %.3f over the rate, want at most 0.10", sc.name, sc.total, a.over)
 		}
-		if sc.cut < 0 && a.under > 0.05 {
+		if a.under > 0.05 {
 			t.Errorf("%s at %v/s: %.3f short of the rate, want at most 0.05", sc.name, sc.total, a.under)
 		}
 		if math.IsNaN(a.over) {
--- a/limits/slots_test.go
+++ b/limits/slots_test.go
@@ -257,6 +257,32 @@
 	}
 }
 
+// Guards against a slot that is lost when it is granted at the moment at which
+// the caller leaves.
+func TestGrantDuringLeave(t *testing.T) {
+	s := NewSlots(SlotsConfig{Slots: 1, Queue: 2})
+	first, err := s.Acquire(context.Background(), fleet.Order, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	leaving, _ := s.arrive(0, fleet.Order, time.Minute)
+	next, _ := s.arrive(0, fleet.Order, time.Minute)
+	s.mu.Unlock()
+	first.Release()
+	if _, err := s.leave(leaving, errGone); codeOf(err) != resultcode.CallerGone {
+		t.Errorf("the caller that left got %v", err)
+	}
+	select {
+	case err := <-next.done:
+		if err != nil {
+			t.Errorf("the next caller got %v", err)
+		}
+	default:
+		t.Error("the slot was lost")
+	}
+}
+
 func raise(peak *atomic.Int64, v int64) {
 	for old := peak.Load(); v > old && !peak.CompareAndSwap(old, v); old = peak.Load() {
 	}
--- a/loadbalancer/measure_test.go
+++ b/loadbalancer/measure_test.go
@@ -125,7 +125,7 @@
 			if c.skew == 0 && max(blind.maxMean, told.maxMean) > 1.1 {
 				t.Errorf("max/mean %.3f and %.3f, want at most 1.1", blind.maxMean, told.maxMean)
 			}
-			if told.queued > one.queued || c.skew > 0 && told.queued > blind.queued {
+			if told.queued > one.queued || c.skew > 0 && told.queued > blind.queued || told.queued > blind.queued+0.03 {
 				t.Errorf("%.4f of the requests queued with reports, %.4f without, %.4f with one choice", told.queued, blind.queued, one.queued)
 			}
 		}
--- a/loadbalancer/pick_test.go
+++ b/loadbalancer/pick_test.go
@@ -96,6 +96,9 @@
 		if kept != wantKept {
 			t.Fatalf("%d targets in service are left, want %d", kept, wantKept)
 		}
+		if len(inService) < floor && len(out) > 0 {
+			t.Fatalf("%d targets are withheld with %d in service and a floor of %d", len(out), len(inService), floor)
+		}
 		checkWorstFirst(t, list, inService, out)
 		checkPicks(t, b, endpoints, out)
 	})
@@ -178,6 +181,22 @@
 	}
 }
 
+// Guards against connections to all hosts of a large service, and against a
+// subset whose places one tier or unusable hosts take from the others.
+func TestSubsetPerTier(t *testing.T) {
+	b := newBalancer(Config{Subset: 8})
+	list := &fleet.EjectionList{Epoch: 1}
+	for i := range 90 {
+		list.Entries = append(list.Entries, fleet.Ejection{Target: fmt.Sprintf("a1-%d", i), Trial: 0.1})
+	}
+	set := b.Update(0, "s", 1, slices.Concat(ready(100, "a1"), ready(100, "a2"), ready(100, "b1")), list)
+	for tier := range set.tiers {
+		if got := len(set.tiers[tier].members); got != 8 {
+			t.Errorf("tier %d has %d targets, want 8", tier, got)
+		}
+	}
+}
+
 // Guards against work that leaves the zone while the zone has free slots, and
 // against work that stays when it has none.
 func TestZoneFirstThenRegion(t *testing.T) {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -83,13 +84,16 @@
 	return fmt.Sprintf("%v %v %04d %v", r.Host != "", !isPrefix, len(prefix), r.Methods != nil), true
 }
 
-// Guards against a lookup that picks a less specific route or misses one, and
-// against With and Without giving another table than Build.
+// Guards against a lookup that picks a less specific route or misses one,
+// against With and Without giving another table than Build, and against a
+// change that shows in an older table, which traffic may still read.
 func TestLookupMatchesNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := Empty()
 		live := map[string]*manifest.Manifest{}
+		older := map[*Table]map[string]*manifest.Manifest{}
 		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			older[table] = maps.Clone(live)
 			mandate := rapid.SampledFrom([]string{"m1", "m2", "m3"}).Draw(t, "mandate")
 			if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
 				table = table.Without(mandate)
@@ -97,13 +101,8 @@
 				continue
 			}
 			m := genManifest(t, mandate)
-			before := table
-			want := before.Len()
 			table, _ = table.With(m)
 			live[mandate] = m
-			if before.Len() != want {
-				t.Fatal("With changed the table it was called on")
-			}
 		}
 		var all []*manifest.Manifest
 		for _, m := range live {
@@ -116,6 +115,10 @@
 		for range 20 {
 			checkLookup(t, live, table, built)
 		}
+		for old, was := range older {
+			checkLookup(t, was, old)
+			checkServices(t, was, old)
+		}
 	})
 }
 
@@ -139,6 +142,21 @@
 	}
 }
 
+// checkServices requires that a table knows exactly the services of manifests.
+func checkServices(t *rapid.T, live map[string]*manifest.Manifest, table *Table) {
+	n := 0
+	table.Services(func(s *Service) bool {
+		n++
+		if m := live[s.Mandate]; m == nil || len(m.Services[0].Routes) != len(s.Routes) {
+			t.Fatalf("the table has a service of %s that was not published like this", s.Mandate)
+		}
+		return true
+	})
+	if n != len(live) {
+		t.Fatalf("the table has %d services, want %d", n, len(live))
+	}
+}
+
 func oneService(mandate, service string, routes ...manifest.Route) *manifest.Manifest {
 	m := &manifest.Manifest{Version: 1, Mandate: mandate, Term: 1, Services: []manifest.Service{{Name: service, Routes: routes}}}
 	m.SetDefaults()
