--- a/filters/headers.go
+++ b/filters/headers.go
@@ -26,7 +26,7 @@
 
 // HeaderSpec makes the headers filter. It refuses malformed and oversized
 // headers and shapes used for request smuggling, and removes hop-by-hop and
-// Hb-* fields from the request and from the target's response.
+// Hb-* fields from the request.
 type HeaderSpec struct{}
 
 // Name implements Spec.
@@ -52,8 +52,8 @@
 	return nil
 }
 
-// Response implements Filter. It must run before the node sets its own Hb-*
-// fields, as it does when the filter is first in the chain before routing.
+// Response implements Filter. The target's header is stripped with StripHeader
+// where it is copied, before the node sets its own Hb-* fields.
 func (headerFilter) Response(*Context) {}
 
 // CheckRequest refuses malformed, oversized and ambiguous requests. The error
--- a/loadbalancer/bench_test.go
+++ b/loadbalancer/bench_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
 
 func BenchmarkPickDone(b *testing.B) {
 	for _, n := range []int{5, 31, 1000} {
-		bal := newBalancer(Config{})
+		bal := newBalancer(Config{Rand: rand.Float64})
 		bal.Update(0, "s", 1, append(ready(n/2, "a1"), ready(n-n/2, "a2")...), nil)
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
@@ -38,7 +39,7 @@
 
 func BenchmarkUpdate(b *testing.B) {
 	for _, n := range []int{31, 1000} {
-		bal := newBalancer(Config{})
+		bal := newBalancer(Config{Rand: rand.Float64})
 		endpoints := append(ready(n/2, "a1"), ready(n-n/2, "a2")...)
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
--- a/loadbalancer/pick_test.go
+++ b/loadbalancer/pick_test.go
@@ -31,6 +31,9 @@
 
 func newBalancer(cfg Config) *Balancer {
 	cfg.Node, cfg.Zone, cfg.Region = "entry", "a1", "r-a"
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(1, 2)).Float64
+	}
 	return New(cfg)
 }
 
@@ -315,7 +318,7 @@
 		{"ready", 0, fleet.Ready, nil, 150, 250},
 		{"trial", 0, fleet.Ready, &fleet.EjectionList{Epoch: 1, Entries: []fleet.Ejection{{Target: "a1-0", Trial: 0.2}}}, 25, 65},
 	} {
-		b := newBalancer(Config{Rand: rand.New(rand.NewPCG(1, 2)).Float64})
+		b := newBalancer(Config{})
 		endpoints := ready(10, "a1")
 		endpoints[0].State = c.state
 		b.Update(0, "s", 1, endpoints, c.list)
