--- a/loadbalancer/pick_test.go
+++ b/loadbalancer/pick_test.go
@@ -72,12 +72,11 @@
 			}
 		}
 		b.Update(0, "s", floor, endpoints, list)
-		inService := map[string]bool{}
-		for i, e := range endpoints {
-			if e.State == fleet.Ready && !slices.Contains(faulty, i) {
-				inService[e.ID] = true
-			}
+		broken := map[string]bool{}
+		for _, i := range faulty {
+			broken[fmt.Sprintf("t%d", i)] = true
 		}
+		inService := reachable(endpoints, broken)
 		out := withheld(b.view("s").list, inService, floor)
 		kept := 0
 		listed := map[string]bool{}
@@ -103,18 +102,32 @@
 			t.Fatalf("%d targets are withheld with %d in service and a floor of %d", len(out), len(inService), floor)
 		}
 		checkWorstFirst(t, list, inService, out)
-		checkPicks(t, b, endpoints, out)
+		checkPicks(t, b, floor, endpoints, broken)
 	})
 }
 
+// reachable returns the targets that are in service, given the broken links.
+func reachable(endpoints []fleet.Endpoint, broken map[string]bool) map[string]bool {
+	out := map[string]bool{}
+	for _, e := range endpoints {
+		if e.State == fleet.Ready && !broken[e.ID] {
+			out[e.ID] = true
+		}
+	}
+	return out
+}
+
 // checkWorstFirst requires that a listed target in service is withheld only
-// if all targets in service that the list names before it are withheld.
+// if all targets in service that the list names before it are withheld. The
+// first mention of a target counts.
 func checkWorstFirst(t *rapid.T, list *fleet.EjectionList, inService map[string]bool, out map[string]*fleet.Ejection) {
 	left := ""
+	seen := map[string]bool{}
 	for _, e := range list.Entries {
-		if !inService[e.Target] {
+		if !inService[e.Target] || seen[e.Target] {
 			continue
 		}
+		seen[e.Target] = true
 		if out[e.Target] == nil {
 			left = e.Target
 		} else if left != "" {
@@ -124,8 +137,9 @@
 }
 
 // checkPicks requires that no pick takes a target that is leaving, down,
-// excluded, or withheld without trial.
-func checkPicks(t *rapid.T, b *Balancer, endpoints []fleet.Endpoint, out map[string]*fleet.Ejection) {
+// excluded, or withheld without trial. Outcomes break and mend links, which
+// changes what is withheld.
+func checkPicks(t *rapid.T, b *Balancer, floor int, endpoints []fleet.Endpoint, broken map[string]bool) {
 	state := map[string]fleet.InstanceState{}
 	for _, e := range endpoints {
 		state[e.ID] = e.State
@@ -141,7 +155,7 @@
 			return
 		}
 		id := p.Endpoint.ID
-		e := out[id]
+		e := withheld(b.view("s").list, reachable(endpoints, broken), floor)[id]
 		switch {
 		case state[id] == fleet.Leaving || state[id] == fleet.Down:
 			t.Fatalf("picked %s, which is %v", id, state[id])
@@ -154,8 +168,8 @@
 		}
 		outcome := Outcome(rapid.IntRange(0, int(Canceled)).Draw(t, "outcome"))
 		p.Done(time.Hour, Result{Outcome: outcome, Busy: -1})
-		if outcome == LinkFault || outcome == Succeeded {
-			return // the view may have changed
+		if outcome != Canceled {
+			broken[id] = outcome == LinkFault
 		}
 	}
 }
