--- a/loadbalancer/pick_test.go
+++ b/loadbalancer/pick_test.go
@@ -31,6 +31,9 @@
 
 func newBalancer(cfg Config) *Balancer {
 	cfg.Node, cfg.Zone, cfg.Region = "entry", "a1", "r-a"
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(1, 2)).Float64
+	}
 	return New(cfg)
 }
 
@@ -69,12 +72,11 @@
 			}
 		}
 		b.Update(0, "s", floor, endpoints, list)
-		inService := map[string]bool{}
-		for i, e := range endpoints {
-			if e.State == fleet.Ready && !slices.Contains(faulty, i) {
-				inService[e.ID] = true
-			}
+		broken := map[string]bool{}
+		for _, i := range faulty {
+			broken[fmt.Sprintf("t%d", i)] = true
 		}
+		inService := reachable(endpoints, broken)
 		out := withheld(b.view("s").list, inService, floor)
 		kept := 0
 		listed := map[string]bool{}
@@ -96,19 +98,36 @@
 		if kept != wantKept {
 			t.Fatalf("%d targets in service are left, want %d", kept, wantKept)
 		}
+		if len(inService) < floor && len(out) > 0 {
+			t.Fatalf("%d targets are withheld with %d in service and a floor of %d", len(out), len(inService), floor)
+		}
 		checkWorstFirst(t, list, inService, out)
-		checkPicks(t, b, endpoints, out)
+		checkPicks(t, b, floor, endpoints, broken)
 	})
 }
 
+// reachable returns the targets that are in service, given the broken links.
+func reachable(endpoints []fleet.Endpoint, broken map[string]bool) map[string]bool {
+	out := map[string]bool{}
+	for _, e := range endpoints {
+		if e.State == fleet.Ready && !broken[e.ID] {
+			out[e.ID] = true
+		}
+	}
+	return out
+}
+
 // checkWorstFirst requires that a listed target in service is withheld only
-// if all targets in service that the list names before it are withheld.
+// if all targets in service that the list names before it are withheld. The
+// first mention of a target counts.
 func checkWorstFirst(t *rapid.T, list *fleet.EjectionList, inService map[string]bool, out map[string]*fleet.Ejection) {
 	left := ""
+	seen := map[string]bool{}
 	for _, e := range list.Entries {
-		if !inService[e.Target] {
+		if !inService[e.Target] || seen[e.Target] {
 			continue
 		}
+		seen[e.Target] = true
 		if out[e.Target] == nil {
 			left = e.Target
 		} else if left != "" {
@@ -118,8 +137,9 @@
 }
 
 // checkPicks requires that no pick takes a target that is leaving, down,
-// excluded, or withheld without trial.
-func checkPicks(t *rapid.T, b *Balancer, endpoints []fleet.Endpoint, out map[string]*fleet.Ejection) {
+// excluded, or withheld without trial. Outcomes break and mend links, which
+// changes what is withheld.
+func checkPicks(t *rapid.T, b *Balancer, floor int, endpoints []fleet.Endpoint, broken map[string]bool) {
 	state := map[string]fleet.InstanceState{}
 	for _, e := range endpoints {
 		state[e.ID] = e.State
@@ -135,7 +155,7 @@
 			return
 		}
 		id := p.Endpoint.ID
-		e := out[id]
+		e := withheld(b.view("s").list, reachable(endpoints, broken), floor)[id]
 		switch {
 		case state[id] == fleet.Leaving || state[id] == fleet.Down:
 			t.Fatalf("picked %s, which is %v", id, state[id])
@@ -148,8 +168,8 @@
 		}
 		outcome := Outcome(rapid.IntRange(0, int(Canceled)).Draw(t, "outcome"))
 		p.Done(time.Hour, Result{Outcome: outcome, Busy: -1})
-		if outcome == LinkFault || outcome == Succeeded {
-			return // the view may have changed
+		if outcome != Canceled {
+			broken[id] = outcome == LinkFault
 		}
 	}
 }
@@ -178,6 +198,22 @@
 	}
 }
 
+// Guards against connections to all hosts of a large service, and against a
+// subset whose places one tier or unusable hosts take from the others.
+func TestSubsetPerTier(t *testing.T) {
+	b := newBalancer(Config{Subset: 8})
+	list := &fleet.EjectionList{Epoch: 1}
+	for i := range 90 {
+		list.Entries = append(list.Entries, fleet.Ejection{Target: fmt.Sprintf("a1-%d", i), Trial: 0.1})
+	}
+	set := b.Update(0, "s", 1, slices.Concat(ready(100, "a1"), ready(100, "a2"), ready(100, "b1")), list)
+	for tier := range set.tiers {
+		if got := len(set.tiers[tier].members); got != 8 {
+			t.Errorf("tier %d has %d targets, want 8", tier, got)
+		}
+	}
+}
+
 // Guards against work that leaves the zone while the zone has free slots, and
 // against work that stays when it has none.
 func TestZoneFirstThenRegion(t *testing.T) {
@@ -296,7 +332,7 @@
 		{"ready", 0, fleet.Ready, nil, 150, 250},
 		{"trial", 0, fleet.Ready, &fleet.EjectionList{Epoch: 1, Entries: []fleet.Ejection{{Target: "a1-0", Trial: 0.2}}}, 25, 65},
 	} {
-		b := newBalancer(Config{Rand: rand.New(rand.NewPCG(1, 2)).Float64})
+		b := newBalancer(Config{})
 		endpoints := ready(10, "a1")
 		endpoints[0].State = c.state
 		b.Update(0, "s", 1, endpoints, c.list)
