Add the operators' status, events and drain API and hyssopctl status

Cause: a node's operator listener answered nothing, so operators could not see ejections, lag or what happened to a request.

Change: package events keeps a bounded, rate-bound ring of decisions and of requests that failed, were refused or retried. Package operator serves /v1/status, /v1/events, /v1/drain and /healthz. The node fills them from its view. hyssopctl status prints tables of at most 100 columns. A balancer Set states which targets it withholds.

Conclusion: a test runs two nodes and reads status, events and the trace of a failed request through the command.

--- /dev/null
+++ b/events/log.go
@@ -0,0 +1,139 @@
+package events
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Defaults of Config.
+const (
+	DefaultRequests  = 4096
+	DefaultDecisions = 4096
+	DefaultPerSecond = 100
+)
+
+// maxText bounds each text of an event, in bytes.
+const maxText = 200
+
+// Config holds the bounds of a Log. Zero values take the defaults.
+type Config struct {
+	Node      string           // ID of this node
+	Requests  int              // events of requests kept
+	Decisions int              // other events kept
+	PerSecond int              // events of one kind added a second, with a burst of five times as many
+	Now       func() time.Time // default time.Now
+	Version   func() int64     // configuration in force; default 0
+}
+
+// Log keeps events. Its methods are safe for concurrent use.
+type Log struct {
+	cfg       Config
+	mu        sync.Mutex
+	requests  ring
+	decisions ring
+	limits    [NumKinds]*rate.Limiter
+	omitted   [NumKinds]int64
+	added     [NumKinds]int64
+	seq       uint64
+}
+
+// NewLog returns an empty Log.
+func NewLog(cfg Config) *Log {
+	cfg.setDefaults()
+	l := &Log{cfg: cfg, requests: newRing(cfg.Requests), decisions: newRing(cfg.Decisions)}
+	for k := range l.limits {
+		l.limits[k] = rate.NewLimiter(rate.Limit(cfg.PerSecond), 5*cfg.PerSecond)
+	}
+	return l
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Requests, DefaultRequests)
+	setDefault(&c.Decisions, DefaultDecisions)
+	setDefault(&c.PerSecond, DefaultPerSecond)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Version == nil {
+		c.Version = func() int64 { return 0 }
+	}
+}
+
+func setDefault(v *int, d int) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+// Add notes an event. It sets Seq, Node, Version and, if it is zero, Time. An
+// event over the rate bound of its kind is counted and left out.
+func (l *Log) Add(e Event) {
+	now := l.cfg.Now()
+	e.Node, e.Version = l.cfg.Node, l.cfg.Version()
+	if e.Time.IsZero() {
+		e.Time = now
+	}
+	for _, text := range []*string{&e.Service, &e.Target, &e.Reason, &e.Evidence, &e.Request} {
+		*text = (*text)[:min(len(*text), maxText)]
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.limits[e.Kind].AllowN(now, 1) {
+		l.omitted[e.Kind]++
+		return
+	}
+	l.seq++
+	e.Seq = l.seq
+	l.added[e.Kind]++
+	if e.Kind.ofRequest() {
+		l.requests.add(e)
+		return
+	}
+	l.decisions.add(e)
+}
+
+// Counts returns how many events of a kind were added and left out.
+func (l *Log) Counts(k Kind) (added, omitted int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.added[k], l.omitted[k]
+}
+
+// Page is the answer to a query.
+type Page struct {
+	Events   []Event        `json:"events"`            // oldest first
+	Omitted  map[Kind]int64 `json:"omitted,omitempty"` // left out by the rate bound since the start, by kind
+	Replaced int64          `json:"replaced"`          // dropped since the start because the ring was full
+	More     bool           `json:"more"`              // older events match that did not fit into the page
+}
+
+// Find returns the newest events that match f.
+func (l *Log) Find(f Filter) Page {
+	limit := f.limit()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := Page{Events: []Event{}, Replaced: l.requests.replaced + l.decisions.replaced, Omitted: map[Kind]int64{}}
+	for k, n := range l.omitted {
+		if n > 0 {
+			p.Omitted[Kind(k)] = n
+		}
+	}
+	for _, r := range []*ring{&l.requests, &l.decisions} {
+		found := 0
+		r.newestFirst(func(e *Event) bool {
+			if f.Match(e) {
+				p.Events = append(p.Events, *e)
+				found++
+			}
+			return found <= limit
+		})
+	}
+	slices.SortFunc(p.Events, func(a, b Event) int { return int(a.Seq) - int(b.Seq) })
+	if extra := len(p.Events) - limit; extra > 0 {
+		p.Events, p.More = p.Events[extra:], true
+	}
+	return p
+}
--- a/loadbalancer/set.go
+++ b/loadbalancer/set.go
@@ -23,6 +23,7 @@
 	rand     func() float64
 	stats    Stats
 	byID     map[string]*member
+	withheld map[string]*fleet.Ejection // entries of the list that are applied
 }
 
 // Stats describes a Set for operators.
@@ -69,6 +70,10 @@
 // Stats returns the counts of s.
 func (s *Set) Stats() Stats { return s.stats }
 
+// Withheld reports whether the ejection list keeps a target from normal work.
+// It is false for an ejected target that the floor keeps in service.
+func (s *Set) Withheld(target string) bool { return s.withheld[target] != nil }
+
 // Service returns the service name.
 func (s *Set) Service() string { return s.service }
 
@@ -106,6 +111,7 @@
 		}
 	}
 	out := withheld(v.list, inService, v.floor)
+	s.withheld = out
 	b.fill(s, open, out)
 	s.count(v, len(inService), len(open), out)
 	return s
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -160,9 +160,3 @@
 	}
 	return upstream.NewClient(cfg), nil
 }
-
-// operatorHandler serves the operators' HTTP API.
-func (n *Node) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	return mux
-}
--- a/node/lists.go
+++ b/node/lists.go
@@ -52,21 +52,25 @@
 
 // put takes a list; a newer one than the list in force is applied and passed on.
 func (l *lists) put(list *fleet.EjectionList) {
-	if !l.store(list) {
+	old, stored := l.store(list)
+	if !stored {
 		return
 	}
+	l.n.operators.listChanged(old, list)
 	l.n.reconcile.poke(list.Service)
 	l.forward(&listMessage{Lists: []fleet.EjectionList{*list}}, listFanout)
 }
 
-func (l *lists) store(list *fleet.EjectionList) bool {
+// store returns the list that was replaced; ok is false if list is not newer.
+func (l *lists) store(list *fleet.EjectionList) (old *fleet.EjectionList, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if old := l.current[list.Service]; old != nil && !newerList(list.Epoch, list.Seq, old.Epoch, old.Seq) {
-		return false
+	old = l.current[list.Service]
+	if old != nil && !newerList(list.Epoch, list.Seq, old.Epoch, old.Seq) {
+		return nil, false
 	}
 	l.current[list.Service] = list
-	return true
+	return old, true
 }
 
 func newerList(epoch, seq, oldEpoch, oldSeq int64) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	lists     *lists
 	reconcile *reconciler
 	versions  versions
+	operators *operators
 
 	entry     *proxy.Entry
 	host      *proxy.Host
@@ -99,6 +100,7 @@
 	n.detector = newDetector(n)
 	n.lists = newLists(n)
 	n.reconcile = newReconciler(n)
+	n.operators = newOperators(n)
 	return n
 }
 
@@ -177,6 +179,7 @@
 	peer.Handle(n.server, methodRates, n.serveRates)
 	peer.Handle(n.server, methodReport, n.detector.serveReport)
 	peer.Handle(n.server, methodLists, n.lists.serve)
+	peer.Handle(n.server, methodDrain, n.operators.serveDrain)
 }
 
 func peerSettings(s *static.Settings) peer.Settings {
@@ -192,6 +195,7 @@
 	n.routes.update(s)
 	n.orders.setGroups(s)
 	n.reconcile.configChanged()
+	n.operators.configChanged(s)
 	n.logger.WithField("version", s.Version).Debug("configuration in force")
 }
 
@@ -252,11 +256,13 @@
 		n.entry.ServeHome(w, r)
 		return
 	}
+	defer n.operators.hostServed(r.Header.Get(proxy.HeaderRequestID), r.Header.Get(proxy.HeaderTarget), w)
 	n.host.ServeHTTP(w, r)
 }
 
 // decided reports a decision about a target.
 func (n *Node) decided(service string, epoch int64, d *health.Decision) {
+	n.operators.decided(service, d)
 	n.logger.WithFields(log.Fields{
 		"service": service, "epoch": epoch, "target": d.Target, "decision": d.Kind.String(),
 		"reason": d.Reason, "score": fmt.Sprintf("%.1f", d.Evidence.Score),
--- a/node/observe.go
+++ b/node/observe.go
@@ -43,6 +43,7 @@
 // observer collects what the entry handler sees. It implements proxy.Observer.
 type observer struct {
 	finished func(*proxy.Result)
+	operate  func(*proxy.Result) // events, objectives and metrics
 	lastID   atomic.Uint64
 	dropped  atomic.Int64
 	clock    func() time.Duration
@@ -91,6 +92,9 @@
 
 // Finished implements proxy.Observer.
 func (o *observer) Finished(r *proxy.Result) {
+	if o.operate != nil {
+		o.operate(r)
+	}
 	if o.finished != nil {
 		o.finished(r)
 	}
--- /dev/null
+++ b/node/operator_status.go
@@ -0,0 +1,312 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"hyssopbridge/control"
+	"hyssopbridge/fleet"
+	"hyssopbridge/loadbalancer"
+	"hyssopbridge/membership"
+	"hyssopbridge/operator"
+	"hyssopbridge/routing"
+)
+
+// statusBuilder collects one Status.
+type statusBuilder struct {
+	o      *operators
+	q      operator.StatusQuery
+	view   *membership.View
+	routes *routeView
+	out    *operator.Status
+}
+
+// Status implements operator.Source.
+func (o *operators) Status(q operator.StatusQuery) *operator.Status {
+	n := o.n
+	progress := n.watcher.Progress()
+	b := &statusBuilder{o: o, q: q, view: n.members.View(), routes: n.routes.current.Load()}
+	b.out = &operator.Status{
+		Node: n.self.ID, Time: time.Now().UTC(), UptimeMS: n.clock().Milliseconds(), Leaving: n.leaving.Load(),
+		ConfigVersion: b.routes.snapshot.Version, LogOffset: progress.Offset, LogAgeMS: logAge(progress), LogReader: n.watcher.Reader(),
+		HeardAgeMS: n.versions.newestAge(),
+		Nodes:      []operator.Node{}, Services: []operator.Service{}, Targets: []operator.Target{}, Mandates: []operator.Mandate{},
+	}
+	b.addNodes()
+	b.addServices()
+	b.addMandates()
+	b.bound()
+	return b.out
+}
+
+// maxLogAge is the age above which the head of the log counts as never heard.
+const maxLogAge = 1000 * time.Hour
+
+func logAge(p control.Progress) int64 {
+	if p.Age < 0 || p.Age > maxLogAge {
+		return -1
+	}
+	return p.Age.Milliseconds()
+}
+
+func (b *statusBuilder) addNodes() {
+	newest := max(b.out.ConfigVersion, b.o.n.versions.highest())
+	for v := range b.view.All() {
+		n := operator.Node{
+			ID: v.ID, Zone: v.Zone, Region: v.Region, Incarnation: v.Incarnation,
+			State: nodeState(v), LinkFault: b.view.LinkFault(v.ID), Lag: -1, HeardAgeMS: -1,
+		}
+		if v.ID == b.out.Node {
+			n.ConfigVersion, n.Lag, n.HeardAgeMS = b.out.ConfigVersion, newest-b.out.ConfigVersion, 0
+		} else if p, ok := b.o.n.versions.of(v.ID); ok {
+			n.ConfigVersion, n.Lag, n.HeardAgeMS = p.version, newest-p.version, time.Since(p.at).Milliseconds()
+		}
+		b.countNode(v, &n)
+		b.out.Nodes = append(b.out.Nodes, n)
+	}
+}
+
+func (b *statusBuilder) countNode(v *membership.NodeView, n *operator.Node) {
+	t := &b.out.Totals
+	if v.Status < membership.Dead {
+		t.Nodes++
+		if n.Lag > 0 {
+			t.NodesBehind++
+		}
+	}
+	if n.State != "alive" || n.LinkFault {
+		t.NodesUnsound++
+	}
+}
+
+func nodeState(v *membership.NodeView) string {
+	if v.Leaving && v.Status == membership.Alive {
+		return "leaving"
+	}
+	return v.Status.String()
+}
+
+// addServices adds the services of live mandates and those that are announced.
+func (b *statusBuilder) addServices() {
+	names := map[string]bool{}
+	for _, name := range b.view.Services() {
+		names[name] = true
+	}
+	b.routes.live.Services(func(s *routing.Service) bool {
+		names[s.Name] = true
+		return true
+	})
+	for name := range names {
+		b.addService(name)
+	}
+}
+
+func (b *statusBuilder) addService(name string) {
+	s := operator.Service{Name: name, Lease: "none", ListAgeMS: b.o.listAge(name)}
+	if settings, ok := b.routes.live.Service(name); ok {
+		s.Mandate, s.Floor, s.Prefer = settings.Mandate, settings.Floor, string(settings.Prefer)
+	}
+	set := b.o.n.balancer.Set(name)
+	if set != nil {
+		stats := set.Stats()
+		s.Announced, s.InService, s.Withheld, s.Clamped = stats.Announced, stats.InService, stats.Withheld, stats.Clamped
+	}
+	list := b.o.n.lists.get(name)
+	if list != nil {
+		s.ListEpoch, s.ListSeq = list.Epoch, list.Seq
+	}
+	// A floor that is not known, or a service without targets beyond it, leaves
+	// nothing to eject.
+	s.AtFloor = s.Mandate != "" && b.remaining(name, set) <= s.Floor
+	b.addLease(&s)
+	b.countService(&s)
+	b.addTargets(name, set, list)
+	if b.q.Service == "" || b.q.Service == name {
+		b.out.Services = append(b.out.Services, s)
+	}
+}
+
+// remaining returns the targets in service that no list withholds.
+func (b *statusBuilder) remaining(name string, set *loadbalancer.Set) int {
+	count := 0
+	for _, e := range b.view.Endpoints(name) {
+		if e.State == fleet.Ready && (set == nil || !set.Withheld(e.ID)) {
+			count++
+		}
+	}
+	return count
+}
+
+func (b *statusBuilder) addLease(s *operator.Service) {
+	group, ok := b.routes.snapshot.HomeGroup(s.Name)
+	if !ok {
+		return
+	}
+	s.Epoch, s.Members, s.Lease = group.Epoch, len(group.Members), "elsewhere"
+	if home, ok := b.o.n.orders.homeOf(s.Name, ""); ok {
+		s.Arbiter = home.Node
+	}
+	if l, held := b.o.n.orders.peekLease(s.Name); held && l.Epoch == s.Epoch {
+		s.Lease = "held"
+	} else if hasMember(group.Members, b.o.n.member) {
+		s.Lease = "unconfirmed"
+	}
+}
+
+func (b *statusBuilder) countService(s *operator.Service) {
+	t := &b.out.Totals
+	t.Services++
+	if s.AtFloor {
+		t.AtFloor++
+	}
+	if s.Lease == "held" {
+		t.LeasesHeld++
+	}
+	if s.Epoch == 0 {
+		t.WithoutHolder++
+	}
+}
+
+func (b *statusBuilder) addTargets(service string, set *loadbalancer.Set, list *fleet.EjectionList) {
+	for _, e := range b.view.Endpoints(service) {
+		t := operator.Target{ID: e.ID, Service: service, Node: e.Node.ID, Zone: e.Node.Zone, SinceMS: -1}
+		describe(&t, &e, set, entryOf(list, e.ID))
+		b.countTarget(t.Condition)
+		if b.wanted(&t) {
+			b.out.Targets = append(b.out.Targets, t)
+		}
+	}
+}
+
+// describe sets the condition of a target.
+func describe(t *operator.Target, e *fleet.Endpoint, set *loadbalancer.Set, entry *fleet.Ejection) {
+	if entry != nil {
+		t.Reason = entry.Reason
+		t.SinceMS = max(0, time.Now().UnixMilli()-entry.SinceMS)
+		t.TrialShare = int(100 * entry.Trial)
+	}
+	switch {
+	case e.State == fleet.Down:
+		t.Condition = operator.ConditionDown
+	case e.State == fleet.Leaving:
+		t.Condition = operator.ConditionDraining
+	case entry != nil && set != nil && !set.Withheld(e.ID):
+		t.Condition = operator.ConditionGray
+	case entry != nil && entry.Trial > 0:
+		t.Condition = operator.ConditionTrial
+	case entry != nil:
+		t.Condition = operator.ConditionEjected
+	case e.State == fleet.Cold:
+		t.Condition = operator.ConditionCold
+	default:
+		t.Condition = operator.ConditionReady
+	}
+}
+
+func (b *statusBuilder) countTarget(condition string) {
+	t := &b.out.Totals
+	t.Targets++
+	switch condition {
+	case operator.ConditionEjected, operator.ConditionTrial:
+		t.Ejected++
+	case operator.ConditionGray:
+		t.Gray++
+	case operator.ConditionDraining:
+		t.Draining++
+	case operator.ConditionDown:
+		t.Down++
+	case operator.ConditionCold:
+		t.Cold++
+	}
+}
+
+// wanted selects the targets that were asked for, or those with a condition.
+func (b *statusBuilder) wanted(t *operator.Target) bool {
+	if b.q.Service == "" && b.q.Target == "" {
+		return t.Condition != operator.ConditionReady
+	}
+	return (b.q.Service == "" || b.q.Service == t.Service) && (b.q.Target == "" || b.q.Target == t.ID)
+}
+
+func (b *statusBuilder) addMandates() {
+	for m := range b.routes.snapshot.Mandates() {
+		b.out.Totals.Mandates++
+		if m.Withdrawn {
+			b.out.Totals.Withdrawn++
+		}
+		services := 0
+		if m.Manifest != nil {
+			services = len(m.Manifest.Services)
+		}
+		b.out.Mandates = append(b.out.Mandates, operator.Mandate{
+			Name: m.Name, Holder: m.Holder, Term: m.Term, Revision: m.Revision,
+			Services: services, Withdrawn: m.Withdrawn, Reason: m.Reason,
+		})
+	}
+}
+
+// bound sorts each list, what needs attention first, and cuts it.
+func (b *statusBuilder) bound() {
+	limit, s := b.q.Max(), b.out
+	s.Nodes, s.Omitted.Nodes = cut(s.Nodes, limit, func(n operator.Node) (int, string) {
+		return rank(n.State != "alive" || n.LinkFault, n.Lag > 0, n.Lag < 0), n.ID
+	})
+	s.Services, s.Omitted.Services = cut(s.Services, limit, func(v operator.Service) (int, string) {
+		return rank(v.Clamped > 0, v.Withheld > 0, v.AtFloor), v.Name
+	})
+	s.Targets, s.Omitted.Targets = cut(s.Targets, limit, func(t operator.Target) (int, string) {
+		return rank(t.Condition == operator.ConditionGray, t.Reason != "", t.Condition == operator.ConditionDraining), t.ID
+	})
+	s.Mandates, s.Omitted.Mandates = cut(s.Mandates, limit, func(m operator.Mandate) (int, string) {
+		return rank(m.Withdrawn), m.Name
+	})
+}
+
+// rank returns the position of the first condition that holds.
+func rank(conditions ...bool) int {
+	if i := slices.Index(conditions, true); i >= 0 {
+		return i
+	}
+	return len(conditions)
+}
+
+func cut[T any](list []T, limit int, key func(T) (int, string)) (kept []T, omitted int) {
+	slices.SortFunc(list, func(a, b T) int {
+		ra, na := key(a)
+		rb, nb := key(b)
+		return cmp.Or(cmp.Compare(ra, rb), cmp.Compare(na, nb))
+	})
+	if len(list) <= limit {
+		return list, 0
+	}
+	return list[:limit], len(list) - limit
+}
+
+// highest returns the highest version that a peer stated.
+func (v *versions) highest() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := int64(0)
+	for p := range maps.Values(v.byNode) {
+		out = max(out, p.version)
+	}
+	return out
+}
+
+// newestAge returns the time since the last message of a peer, in ms, or -1.
+func (v *versions) newestAge() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var at time.Time
+	for p := range maps.Values(v.byNode) {
+		if p.at.After(at) {
+			at = p.at
+		}
+	}
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -22,6 +22,7 @@
 	methodRates  = "rates"
 	methodReport = "health.report"
 	methodLists  = "health.lists"
+	methodDrain  = "operator.drain"
 )
 
 const (
--- a/node/reconcile.go
+++ b/node/reconcile.go
@@ -99,6 +99,7 @@
 	}
 	r.n.watcher.SetNodes(live)
 	r.n.rates.SetNodes(ids)
+	r.n.operators.viewChanged(view)
 }
 
 func (r *reconciler) updateService(view *membership.View, service string) {
--- /dev/null
+++ b/operator/handler.go
@@ -0,0 +1,118 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxTarget bounds the name of a target, in bytes.
+	maxTarget = maxName
+	// drainTimeout bounds a drain, which may go to another node.
+	drainTimeout = 3 * time.Second
+	// maxConcurrent bounds the requests that are handled at once. Answers for
+	// the whole fleet take processor time from traffic.
+	maxConcurrent = 4
+	// maxBody bounds request bodies, which no request needs.
+	maxBody = 1 << 10
+)
+
+// Handler serves the API.
+type Handler struct {
+	source    Source
+	authority *Authority
+	mux       *http.ServeMux
+	running   chan struct{}
+}
+
+// NewHandler returns the API of a node.
+func NewHandler(s Source, a *Authority) *Handler {
+	h := &Handler{source: s, authority: a, mux: http.NewServeMux(), running: make(chan struct{}, maxConcurrent)}
+	h.get("/v1/status", h.status)
+	h.get("/v1/events", h.events)
+	h.mux.HandleFunc("POST /v1/drain/{target}", h.change(h.source.Drain))
+	h.mux.HandleFunc("DELETE /v1/drain/{target}", h.change(h.source.Undrain))
+	h.mux.HandleFunc("GET /healthz", h.healthz)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	select {
+	case h.running <- struct{}{}:
+		defer func() { <-h.running }()
+		h.mux.ServeHTTP(w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// get adds a request that answers with JSON.
+func (h *Handler) get(path string, answer func(*http.Request) (any, error)) {
+	h.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+		v, err := answer(r)
+		write(w, v, err)
+	})
+}
+
+func (h *Handler) status(r *http.Request) (any, error) {
+	q, err := parseStatusQuery(r.URL.Query())
+	if err != nil {
+		return nil, err
+	}
+	return h.source.Status(q), nil
+}
+
+func (h *Handler) events(r *http.Request) (any, error) {
+	f, err := parseFilter(r.URL.Query(), time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return h.source.Events(f), nil
+}
+
+// Changed is the answer to a drain or the end of one.
+type Changed struct {
+	Target string `json:"target"`
+	Host   string `json:"host"` // node beside the target
+}
+
+func (h *Handler) change(do func(context.Context, string) (string, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := h.authority.Check(r); err != nil {
+			write(w, nil, err)
+			return
+		}
+		target := r.PathValue("target")
+		if len(target) > maxTarget {
+			write(w, nil, problem(http.StatusBadRequest, fmt.Sprintf("the target's name is longer than %d bytes", maxTarget)))
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), drainTimeout)
+		defer cancel()
+		host, err := do(ctx, target)
+		write(w, Changed{Target: target, Host: host}, err)
+	}
+}
+
+func (h *Handler) healthz(w http.ResponseWriter, _ *http.Request) {
+	if reason := h.source.Unhealthy(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+func write(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		p := asProblem(err)
+		v, status = p, p.Status
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/operator/query.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"hyssopbridge/events"
+)
+
+// maxName bounds the names in queries, in bytes.
+const maxName = 256
+
+// checkQuery refuses parameters that the request does not have, so that a
+// misspelled filter is not taken for an empty one.
+func checkQuery(q url.Values, allowed ...string) error {
+	for name, values := range q {
+		if !contains(allowed, name) {
+			return problem(http.StatusBadRequest, fmt.Sprintf("unknown parameter %.40q, want one of %s", name, strings.Join(allowed, ", ")))
+		}
+		if len(values) != 1 || len(values[0]) > maxName {
+			return problem(http.StatusBadRequest, fmt.Sprintf("parameter %s is repeated or longer than %d bytes", name, maxName))
+		}
+	}
+	return nil
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+func parseLimit(q url.Values) (int, error) {
+	text := q.Get("limit")
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		return 0, problem(http.StatusBadRequest, fmt.Sprintf("limit is %.40q, want a number of at least 1", text))
+	}
+	return n, nil
+}
+
+func parseStatusQuery(q url.Values) (StatusQuery, error) {
+	if err := checkQuery(q, "service", "target", "limit"); err != nil {
+		return StatusQuery{}, err
+	}
+	limit, err := parseLimit(q)
+	return StatusQuery{Service: q.Get("service"), Target: q.Get("target"), Limit: limit}, err
+}
+
+func parseFilter(q url.Values, now time.Time) (events.Filter, error) {
+	if err := checkQuery(q, "kind", "service", "target", "request", "since", "limit"); err != nil {
+		return events.Filter{}, err
+	}
+	limit, err := parseLimit(q)
+	if err != nil {
+		return events.Filter{}, err
+	}
+	f := events.Filter{Service: q.Get("service"), Target: q.Get("target"), Request: q.Get("request"), Limit: limit}
+	if kinds := q.Get("kind"); kinds != "" {
+		for _, name := range strings.Split(kinds, ",") {
+			k, err := events.ParseKind(name)
+			if err != nil {
+				return f, problem(http.StatusBadRequest, err.Error())
+			}
+			f.Kinds = append(f.Kinds, k)
+		}
+	}
+	if since := q.Get("since"); since != "" {
+		d, err := time.ParseDuration(since)
+		if err != nil || d < 0 {
+			return f, problem(http.StatusBadRequest, fmt.Sprintf("since is %.40q, want a duration such as 10m", since))
+		}
+		f.Since = now.Add(-d)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/operator/token.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+)
+
+// maxTokenBytes bounds the token file.
+const maxTokenBytes = 4096
+
+// Authority decides who may change something.
+type Authority struct {
+	file     string
+	loopback bool
+}
+
+// NewAuthority returns the rules for a listener. Without a token file, changes
+// are accepted on a loopback listener only. The file is read at each change, so
+// that a new token needs no restart.
+func NewAuthority(tokenFile string, listener net.Addr) *Authority {
+	tcp, ok := listener.(*net.TCPAddr)
+	return &Authority{file: tokenFile, loopback: ok && tcp.IP.IsLoopback()}
+}
+
+// Check returns a *Problem unless r may change something.
+func (a *Authority) Check(r *http.Request) error {
+	if a.file == "" {
+		if a.loopback {
+			return nil
+		}
+		return problem(http.StatusForbidden, "changes need a token: operator_token_file is not set, and the listener is not on a loopback address")
+	}
+	want, err := ReadToken(a.file)
+	if err != nil {
+		return problem(http.StatusForbidden, "changes are refused: the node cannot read its operator token")
+	}
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return problem(http.StatusUnauthorized, "this request needs the header Authorization: Bearer TOKEN")
+	}
+	// Hashes have equal lengths, so that the comparison does not show the
+	// length of the token.
+	g, w := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(want))
+	if subtle.ConstantTimeCompare(g[:], w[:]) != 1 {
+		return problem(http.StatusUnauthorized, "the token is not valid")
+	}
+	return nil
+}
+
+// ReadToken returns the token in a file, without surrounding white space.
+func ReadToken(file string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("read token: %w", err)
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" || len(token) > maxTokenBytes {
+		return "", fmt.Errorf("read token: %s is empty or longer than %d bytes", file, maxTokenBytes)
+	}
+	return token, nil
+}
