Measure error budgets and report them; drain targets by command

Cause: nothing told whether a service met its objective or who spent its budget, and a drain needed a hand-written HTTP request.

Change: package burn judges each request at its entry node and counts it in slots of a minute and an hour within fixed memory.

--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,89 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"hyssopbridge/config/manifest"
+)
+
+// Objective is the objective of a service in one revision of its mandate.
+type Objective struct {
+	Service  string `json:"service"`
+	Revision int64  `json:"revision"`
+	manifest.Objective
+}
+
+// Report is what nodes counted. Its slots and objectives are sorted and unique.
+type Report struct {
+	Live       []string    `json:"live"` // nodes that were alive in the view of the reporting nodes
+	Objectives []Objective `json:"objectives"`
+	Slots      []Packed    `json:"slots"`
+	Cut        bool        `json:"cut"` // the oldest slots did not fit into the answer
+}
+
+func compareSlots(a, b Packed) int {
+	return cmp.Or(cmp.Compare(a.StartS, b.StartS), cmp.Compare(a.LengthS, b.LengthS),
+		strings.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func compareObjectives(a, b Objective) int {
+	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Target, b.Target),
+		cmp.Compare(a.LatencyMS, b.LatencyMS), cmp.Compare(a.WindowH, b.WindowH))
+}
+
+// Merge returns the report that holds the newest of each slot and objective of
+// the given reports. It is idempotent, commutative and associative.
+func Merge(reports ...*Report) *Report {
+	slots := map[Key]Packed{}
+	objectives := map[string]Objective{}
+	out := &Report{Live: []string{}}
+	for _, r := range reports {
+		out.Live = append(out.Live, r.Live...)
+		out.Cut = out.Cut || r.Cut
+		for _, p := range r.Slots {
+			if old, held := slots[p.Key]; !held || p.newer(&old) {
+				slots[p.Key] = p
+			}
+		}
+		for _, o := range r.Objectives {
+			if old, held := objectives[o.Service]; !held || compareObjectives(o, old) > 0 {
+				objectives[o.Service] = o
+			}
+		}
+	}
+	out.Slots = sortedValues(slots, compareSlots)
+	out.Objectives = sortedValues(objectives, func(a, b Objective) int { return strings.Compare(a.Service, b.Service) })
+	slices.Sort(out.Live)
+	out.Live = slices.Compact(out.Live)
+	return out
+}
+
+func sortedValues[K comparable, V any](m map[K]V, compare func(a, b V) int) []V {
+	list := make([]V, 0, len(m))
+	for _, v := range m {
+		list = append(list, v)
+	}
+	slices.SortFunc(list, compare)
+	return list
+}
+
+// Missing returns the live nodes that the report has no slot of in the last
+// minutes before nowS, and which therefore may have requests that it lacks.
+func (r *Report) Missing(nowS int64) []string {
+	const recentS = 10 * MinuteS
+	heard := map[string]bool{}
+	for i := range r.Slots {
+		if r.Slots[i].EndS() >= nowS-recentS {
+			heard[r.Slots[i].Node] = true
+		}
+	}
+	var out []string
+	for _, node := range r.Live {
+		if !heard[node] {
+			out = append(out, node)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/burn/slot.go
@@ -0,0 +1,123 @@
+package burn
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hyssopbridge/fleet"
+)
+
+// Lengths of slots, in seconds.
+const (
+	MinuteS = 60
+	HourS   = 3600
+)
+
+// MaxSlotBytes bounds an unpacked slot.
+const MaxSlotBytes = 2 << 20
+
+// Key identifies a slot.
+type Key struct {
+	Node        string `cbor:"1,keyasint" json:"node"`
+	Incarnation int64  `cbor:"2,keyasint" json:"incarnation"` // process start, Unix ms
+	StartS      int64  `cbor:"3,keyasint" json:"start_s"`     // Unix s
+	LengthS     int64  `cbor:"4,keyasint" json:"length_s"`    // MinuteS or HourS
+}
+
+// EndS returns the end of the slot, in Unix s.
+func (k *Key) EndS() int64 { return k.StartS + k.LengthS }
+
+// Count holds the requests of a service and class by Verdict.
+type Count struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Class    fleet.Class
+	Verdicts [numVerdicts]uint32
+	// Latency holds the answered requests: pairs of a time in 0.1 ms, which is
+	// the lower end of a histogram bucket, and a count. Only hours have it.
+	Latency []uint32
+}
+
+// Spender is a target or customer with bad requests. Bad exceeds the true count
+// by at most Over, because a bounded number of spenders is tracked.
+type Spender struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Name    string
+	Bad     uint32
+	Over    uint32
+}
+
+// Slot is the content of a slot.
+type Slot struct {
+	_         struct{} `cbor:",toarray"`
+	Counts    []Count
+	Targets   []Spender
+	Customers []Spender
+}
+
+// Packed is a slot in the form in which it is kept and sent.
+type Packed struct {
+	Key
+	Number uint64 `cbor:"5,keyasint" json:"number"` // rises with every change of the slot
+	Data   []byte `cbor:"6,keyasint" json:"data"`   // compressed CBOR of a Slot
+}
+
+// newer reports whether p replaces old. Slots of one process with the same
+// number are equal; comparing the data keeps the merge independent of its order
+// even if a faulty node sends two.
+func (p *Packed) newer(old *Packed) bool {
+	return cmp.Or(cmp.Compare(p.Number, old.Number), bytes.Compare(p.Data, old.Data)) > 0
+}
+
+// errTooLong reports a slot above MaxSlotBytes.
+var errTooLong = errors.New("slot is too long")
+
+var slotDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+func pack(k Key, number uint64, s *Slot) (Packed, error) {
+	raw, err := cbor.Marshal(s)
+	if err != nil {
+		return Packed{}, fmt.Errorf("pack slot: %w", err)
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return Packed{}, fmt.Errorf("pack slot: %w", err)
+	}
+	_, err = w.Write(raw)
+	if err := errors.Join(err, w.Close()); err != nil {
+		return Packed{}, fmt.Errorf("pack slot: %w", err)
+	}
+	return Packed{Key: k, Number: number, Data: bytes.Clone(buf.Bytes())}, nil
+}
+
+// Unpack returns the content of p. It fails for data that exceeds
+// MaxSlotBytes or is no slot.
+func (p *Packed) Unpack() (*Slot, error) {
+	r := flate.NewReader(bytes.NewReader(p.Data))
+	raw, err := io.ReadAll(io.LimitReader(r, MaxSlotBytes+1))
+	if err == nil && len(raw) > MaxSlotBytes {
+		err = errTooLong
+	}
+	s := &Slot{}
+	if err == nil {
+		err = slotDecoder.Unmarshal(raw, s)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("slot of node %s at %d: %w", p.Node, p.StartS, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/burn/spenders.go
@@ -0,0 +1,46 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// maxSpenders bounds the targets, and the customers, that a slot tracks.
+const maxSpenders = 64
+
+// spenders keeps the names with the most bad requests in fixed memory: a new
+// name replaces the one with the fewest and inherits its count, so that no name
+// with more bad requests than that is missed.
+type spenders struct{ list []Spender }
+
+func (s *spenders) add(service, name string) {
+	if name == "" {
+		return
+	}
+	least := 0
+	for i := range s.list {
+		e := &s.list[i]
+		if e.Name == name && e.Service == service {
+			e.Bad++
+			return
+		}
+		if e.Bad < s.list[least].Bad {
+			least = i
+		}
+	}
+	if len(s.list) < maxSpenders {
+		s.list = append(s.list, Spender{Service: service, Name: name, Bad: 1})
+		return
+	}
+	over := s.list[least].Bad
+	s.list[least] = Spender{Service: service, Name: name, Bad: over + 1, Over: over}
+}
+
+func (s *spenders) sorted() []Spender {
+	list := slices.Clone(s.list)
+	slices.SortFunc(list, func(a, b Spender) int {
+		return cmp.Or(cmp.Compare(b.Bad, a.Bad), strings.Compare(a.Service, b.Service), strings.Compare(a.Name, b.Name))
+	})
+	return list
+}
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -107,8 +107,8 @@
 func ask(method, node, path string, query url.Values, token string, v any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: node, Path: path, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), http.NoBody)
+	u := url.URL{Scheme: "http", Host: node, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, method, u.JoinPath(path).String(), http.NoBody)
 	if err != nil {
 		return fmt.Errorf("node %s: %w", node, err)
 	}
--- a/ctl/live_test.go
+++ b/ctl/live_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -145,6 +147,8 @@
 	_, id := f.get("/fail")
 	out = eventually(t, []string{id + " at entry", "failure"}, "status", "-node", f.operators(), "-request", id)
 	t.Log("\n" + out)
+	checkDrains(t, f)
+	checkBurn(t, f)
 	if code, _, errs := command("status", "-node", f.operators()+",127.0.0.1:1"); code != exitPartial || !strings.Contains(errs, "cannot be reached") {
 		t.Errorf("with an unreachable node: exit code %d, %s", code, errs)
 	}
@@ -154,3 +158,45 @@
 	t.Log("\n" + eventually(t, []string{"withdrawn: term ended"}, "status", "-node", f.nodes[1].OperatorAddr()))
 	t.Log("\n" + eventually(t, []string{"withdrawn: term ended", "join"}, "status", "-events", "-node", f.nodes[1].OperatorAddr()))
 }
+
+// checkDrains drains a target through the node that does not have it.
+func checkDrains(t *testing.T, f *liveFleet) {
+	code, out, errs := command("drain", "-node", f.nodes[1].OperatorAddr(), "belt-desk-1")
+	if code != exitOK || !strings.Contains(out, "belt-desk-1 at node host-1") {
+		t.Fatalf("drain: exit code %d, %s%s", code, out, errs)
+	}
+	t.Log("\n" + eventually(t, []string{"1 draining", "draining"}, "status", "-node", f.nodes[1].OperatorAddr()))
+	eventually(t, []string{"drained by an operator"}, "status", "-kind", "drain", "-node", f.nodes[0].OperatorAddr())
+	if code, out, errs = command("drain", "-undo", "-node", f.nodes[1].OperatorAddr(), "belt-desk-1"); code != exitOK {
+		t.Fatalf("undo: exit code %d, %s%s", code, out, errs)
+	}
+	eventually(t, []string{"0 draining"}, "status", "-node", f.nodes[1].OperatorAddr())
+	for want, args := range map[string][]string{
+		"no node knows the target: nothing":      {"drain", "-node", f.nodes[0].OperatorAddr(), "nothing"},
+		"the target is not drained: belt-desk-2": {"drain", "-undo", "-node", f.nodes[0].OperatorAddr(), "belt-desk-2"},
+	} {
+		if code, _, errs := command(args...); code != exitError || !strings.Contains(errs, want) {
+			t.Errorf("%v: exit code %d, %s", args, code, errs)
+		}
+	}
+}
+
+func checkBurn(t *testing.T, f *liveFleet) {
+	file := filepath.Join(t.TempDir(), "burn.html")
+	code, out, errs := command("report", "burn", "-node", f.operators())
+	if code != exitOK || !strings.Contains(out, "belt-desk-") || !strings.Contains(out, "counts of 2 nodes") {
+		t.Errorf("report burn: exit code %d, %s%s", code, out, errs)
+	}
+	t.Log("\n" + out)
+	if code, _, errs := command("report", "burn", "-html", file, "-node", f.operators()); code != exitOK {
+		t.Errorf("report burn -html: exit code %d, %s", code, errs)
+	}
+	page, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(page), "belt-desk") || strings.Contains(string(page), "ZgotmplZ") {
+		t.Errorf("page: %v\n%s", err, page)
+	}
+	code, _, errs = command("report", "burn", "-node", f.nodes[0].OperatorAddr())
+	if code != exitPartial || !strings.Contains(errs, "no recent counts of 1 live nodes (host-2)") {
+		t.Errorf("report burn of one node: exit code %d, %s", code, errs)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,7 @@
 	}
 	n.serveAll()
 	for _, run := range []func(context.Context){
-		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle,
+		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle, n.operators.burner.run,
 	} {
 		go run(ctx)
 	}
@@ -180,6 +180,7 @@
 	peer.Handle(n.server, methodReport, n.detector.serveReport)
 	peer.Handle(n.server, methodLists, n.lists.serve)
 	peer.Handle(n.server, methodDrain, n.operators.serveDrain)
+	peer.Handle(n.server, methodBurnCopy, n.operators.burner.serveCopy)
 }
 
 func peerSettings(s *static.Settings) peer.Settings {
--- a/node/operator.go
+++ b/node/operator.go
@@ -16,6 +16,7 @@
 type operators struct {
 	n      *Node
 	events *events.Log
+	burner *burner
 
 	mu       sync.Mutex
 	listedAt map[string]time.Time // when the list of a service was received
@@ -27,6 +28,7 @@
 func newOperators(n *Node) *operators {
 	o := &operators{n: n, listedAt: map[string]time.Time{}}
 	o.events = events.NewLog(events.Config{Node: n.self.ID, Version: n.routes.Version})
+	o.burner = newBurner(n)
 	n.observer.operate = o.finished
 	return o
 }
--- a/node/operator_events.go
+++ b/node/operator_events.go
@@ -17,6 +17,7 @@
 
 // finished takes the result of every request at this node as entry or home.
 func (o *operators) finished(r *proxy.Result) {
+	o.burner.finished(r)
 	if r.Code == resultcode.Answered && r.Attempts <= 1 && r.Status < http.StatusInternalServerError {
 		return
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,6 +23,8 @@
 	methodReport = "health.report"
 	methodLists  = "health.lists"
 	methodDrain  = "operator.drain"
+
+	methodBurnCopy = "burn.copy"
 )
 
 const (
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -33,6 +33,7 @@
 	h := &Handler{source: s, authority: a, mux: http.NewServeMux(), running: make(chan struct{}, maxConcurrent)}
 	h.get("/v1/status", h.status)
 	h.get("/v1/events", h.events)
+	h.get("/v1/burn", h.burn)
 	h.mux.HandleFunc("POST /v1/drain/{target}", h.change(h.source.Drain))
 	h.mux.HandleFunc("DELETE /v1/drain/{target}", h.change(h.source.Undrain))
 	h.mux.HandleFunc("GET /healthz", h.healthz)
@@ -74,6 +75,13 @@
 	return h.source.Events(f), nil
 }
 
+func (h *Handler) burn(r *http.Request) (any, error) {
+	if err := checkQuery(r.URL.Query()); err != nil {
+		return nil, err
+	}
+	return h.source.Burn(), nil
+}
+
 // Changed is the answer to a drain or the end of one.
 type Changed struct {
 	Target string `json:"target"`
--- a/operator/query.go
+++ b/operator/query.go
@@ -19,7 +19,7 @@
 func checkQuery(q url.Values, allowed ...string) error {
 	for name, values := range q {
 		if !contains(allowed, name) {
-			return problem(http.StatusBadRequest, fmt.Sprintf("unknown parameter %.40q, want one of %s", name, strings.Join(allowed, ", ")))
+			return problem(http.StatusBadRequest, fmt.Sprintf("unknown parameter %.40q, allowed: %s", name, strings.Join(allowed, ", ")))
 		}
 		if len(values) != 1 || len(values[0]) > maxName {
 			return problem(http.StatusBadRequest, fmt.Sprintf("parameter %s is repeated or longer than %d bytes", name, maxName))
--- a/operator/source.go
+++ b/operator/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"hyssopbridge/burn"
 	"hyssopbridge/events"
 )
 
@@ -20,6 +21,8 @@
 	Status(q StatusQuery) *Status
 	// Events returns events of this node.
 	Events(f events.Filter) events.Page
+	// Burn returns what the node counted and what it holds of other nodes.
+	Burn() *burn.Report
 	// Drain makes a target take no new work. It returns the node beside the
 	// target, or one of the errors of this package.
 	Drain(ctx context.Context, target string) (host string, err error)
