--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	reconcile *reconciler
 	versions  versions
 	pause     pauseGuard
+	operators *operators
 
 	entry     *proxy.Entry
 	host      *proxy.Host
@@ -102,6 +103,7 @@
 	n.detector = newDetector(n)
 	n.lists = newLists(n)
 	n.reconcile = newReconciler(n)
+	n.operators = newOperators(n)
 	return n
 }
 
@@ -138,7 +140,8 @@
 	n.serveAll()
 	n.pause.beat.Store(int64(n.clock()))
 	for _, run := range []func(context.Context){
-		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle, n.pause.run,
+		n.orders.run, n.detector.run, n.detector.runReports, n.lists.run, n.reconcile.run, n.runRates, n.runRegistry, n.closeIdle,
+		n.pause.run, n.operators.burner.run,
 	} {
 		go run(ctx)
 	}
@@ -181,6 +184,8 @@
 	peer.Handle(n.server, methodRates, n.serveRates)
 	peer.Handle(n.server, methodReport, n.detector.serveReport)
 	peer.Handle(n.server, methodLists, n.lists.serve)
+	peer.Handle(n.server, methodDrain, n.operators.serveDrain)
+	peer.Handle(n.server, methodBurnCopy, n.operators.burner.serveCopy)
 }
 
 func peerSettings(s *static.Settings) peer.Settings {
@@ -196,6 +201,7 @@
 	n.routes.update(s)
 	n.orders.setGroups(s)
 	n.reconcile.configChanged()
+	n.operators.configChanged(s)
 	n.logger.WithField("version", s.Version).Debug("configuration in force")
 }
 
@@ -256,11 +262,13 @@
 		n.entry.ServeHome(w, r)
 		return
 	}
+	defer n.operators.hostServed(r.Header.Get(proxy.HeaderRequestID), r.Header.Get(proxy.HeaderTarget), w)
 	n.host.ServeHTTP(w, r)
 }
 
 // decided reports a decision about a target.
 func (n *Node) decided(service string, epoch int64, d *health.Decision) {
+	n.operators.decided(service, d)
 	n.logger.WithFields(log.Fields{
 		"service": service, "epoch": epoch, "target": d.Target, "decision": d.Kind.String(),
 		"reason": d.Reason, "score": fmt.Sprintf("%.1f", d.Evidence.Score),
--- a/node/peers.go
+++ b/node/peers.go
@@ -22,6 +22,9 @@
 	methodRates  = "rates"
 	methodReport = "health.report"
 	methodLists  = "health.lists"
+	methodDrain  = "operator.drain"
+
+	methodBurnCopy = "burn.copy"
 )
 
 const (
