--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/logfmt"
 
 	"hyssopbridge/config/static"
 	"hyssopbridge/demo"
@@ -83,7 +83,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitError
 	}
-	log.SetHandler(text.New(os.Stderr))
+	log.SetHandler(logfmt.New(os.Stderr))
 	log.SetLevelFromString(s.LogLevel)
 	return serve(s)
 }
@@ -124,7 +124,7 @@
 	defer stop()
 	var logger log.Interface
 	if *verbose {
-		logger = &log.Logger{Handler: text.New(os.Stderr), Level: log.InfoLevel}
+		logger = &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
 	}
 	r, err := demo.Run(ctx, *length, os.Stdout, logger)
 	if err != nil {
--- /dev/null
+++ b/cmd/logstandin/main.go
@@ -0,0 +1,30 @@
+// Command logstandin runs the stand-in of the platform's log for trials. It
+// keeps records in memory and loses them when it ends.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"hyssopbridge/platformlog/standin"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:7000", "IP:port to listen on")
+	flag.Parse()
+	l, err := net.Listen("tcp", *listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "logstandin:", err)
+		os.Exit(1)
+	}
+	fmt.Println("log stand-in at http://" + l.Addr().String())
+	server := &http.Server{Handler: standin.New(time.Now), ReadHeaderTimeout: 5 * time.Second}
+	if err := server.Serve(l); err != nil {
+		fmt.Fprintln(os.Stderr, "logstandin:", err)
+		os.Exit(1)
+	}
+}
