--- a/config/manifest/decode.go
+++ b/config/manifest/decode.go
@@ -35,7 +35,7 @@
 func (r *report) decodeObject(key string, v *hujson.Value, out reflect.Value) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		r.add(key, "want an object")
+		r.wrongType(key, "want an object")
 		return
 	}
 	fields := fieldsOf(out.Type())
@@ -61,7 +61,7 @@
 func (r *report) decodeArray(key string, v *hujson.Value, out reflect.Value) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		r.add(key, "want an array")
+		r.wrongType(key, "want an array")
 		return
 	}
 	out.Set(reflect.MakeSlice(out.Type(), len(array.Elements), len(array.Elements)))
@@ -73,20 +73,20 @@
 func (r *report) decodeLiteral(key string, v *hujson.Value, out reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() == 'n' {
-		r.add(key, "want %s", kindName(out))
+		r.wrongType(key, "want %s", kindName(out))
 		return
 	}
-	if err := json.Unmarshal(literal, out.Addr().Interface()); err != nil {
-		r.add(key, "want %s, got %.64s%s", kindName(out), string(literal), detail(err))
+	err := json.Unmarshal(literal, out.Addr().Interface())
+	if _, mismatch := err.(*json.UnmarshalTypeError); mismatch {
+		r.wrongType(key, "want %s, got %.64s", kindName(out), string(literal))
+	} else if err != nil {
+		r.wrongType(key, "%v", err)
 	}
 }
 
-// detail returns the text of errors that explain more than a type mismatch.
-func detail(err error) string {
-	if _, ok := err.(*json.UnmarshalTypeError); ok {
-		return ""
-	}
-	return ": " + err.Error()
+func (r *report) wrongType(key, format string, args ...any) {
+	r.add(key, format, args...)
+	r.unread[key] = true
 }
 
 func kindName(v reflect.Value) string {
--- a/config/manifest/problem.go
+++ b/config/manifest/problem.go
@@ -28,12 +28,13 @@
 type report struct {
 	file     string
 	data     []byte
-	offsets  map[string]int // key path to the offset of its value
+	offsets  map[string]int  // key path to the offset of its value
+	unread   map[string]bool // keys whose value has the wrong type; one problem suffices
 	problems []Problem
 }
 
 func newReport(file string, data []byte) *report {
-	return &report{file: file, data: data, offsets: make(map[string]int)}
+	return &report{file: file, data: data, offsets: make(map[string]int), unread: make(map[string]bool)}
 }
 
 // has reports whether the document contains a key.
@@ -45,6 +46,9 @@
 // add reports a problem at a key, or at its nearest parent that the document
 // contains.
 func (r *report) add(key, format string, args ...any) {
+	if r.unread[key] {
+		return
+	}
 	at := key
 	for !r.has(at) && at != "" {
 		at = parentKey(at)
--- a/config/manifest/syntax.go
+++ b/config/manifest/syntax.go
@@ -16,6 +16,7 @@
 	if at := syntaxPosition.FindStringSubmatch(message); at != nil {
 		p.Line, _ = strconv.Atoi(at[1])
 		p.Column, _ = strconv.Atoi(at[2])
+		p.Message = strings.TrimPrefix(strings.TrimPrefix(message, at[0]), ": ")
 	}
 	r.problems = append(r.problems, p)
 }
