--- a/limits/rate_test.go
+++ b/limits/rate_test.go
@@ -308,6 +308,33 @@
 	})
 }
 
+// Guards against requests that run ahead of a grant and are never charged: a
+// lost report is repeated, a delivered one is not.
+func TestSpentIsReported(t *testing.T) {
+	user, owner := NewRateLimiter(RateConfig{Node: "n0"}), NewRateLimiter(RateConfig{Node: "n1"})
+	user.SetNodes([]string{"n0", "n1"})
+	rate := Rate{PerSecond: 0.001, Burst: 20}
+	key := NewRateKey("s/r", "c")
+	for user.nodes.Load().ownerOf(key) == user.nodes.Load().self {
+		key++
+	}
+	if !user.Allow(0, key, rate) {
+		t.Fatal("the first request of a customer was refused")
+	}
+	sent := 0
+	for now := time.Duration(0); now < 4*time.Second; now += 20 * time.Millisecond {
+		user.Sweep(now)
+		for _, b := range user.Due(now) {
+			if sent++; sent > 1 {
+				user.Granted(now, owner.Answer(now, b.Asks))
+			}
+		}
+	}
+	if got := owner.owner.buckets[key]; sent != 2 || got == nil || got.tokens > rate.Burst-0.9 || got.tokens < rate.Burst-1.1 {
+		t.Errorf("%d messages, bucket %+v, want 2 and one token charged", sent, got)
+	}
+}
+
 // Guards against a field that is lost on the way between nodes. Logs the size
 // of the messages.
 func TestRateMessagesSurviveCodec(t *testing.T) {
