Add metrics, rate-bound logs and tests of the operators' API

Cause: a node had no metrics, and a failure storm could fill its log.

Change: operator.Metrics registers a fixed set of metrics with units in their names; labels take known values only. docs/METRICS.md is checked against the table in the code. Package peer reports the sizes of calls. The log handler passes 20 lines of one message in 10 s and counts the rest.

Conclusion: token rules hold over a real socket in eleven cases; unknown filters and parameters are refused.

--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -17,6 +17,7 @@
 	"hyssopbridge/config/static"
 	"hyssopbridge/demo"
 	"hyssopbridge/node"
+	"hyssopbridge/operator"
 )
 
 // Exit codes.
@@ -83,7 +84,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitError
 	}
-	log.SetHandler(text.New(os.Stderr))
+	log.SetHandler(operator.NewLogLimit(text.New(os.Stderr)))
 	log.SetLevelFromString(s.LogLevel)
 	return serve(s)
 }
@@ -124,7 +125,7 @@
 	defer stop()
 	var logger log.Interface
 	if *verbose {
-		logger = &log.Logger{Handler: text.New(os.Stderr), Level: log.InfoLevel}
+		logger = &log.Logger{Handler: operator.NewLogLimit(text.New(os.Stderr)), Level: log.InfoLevel}
 	}
 	r, err := demo.Run(ctx, *length, os.Stdout, logger)
 	if err != nil {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -24,6 +24,7 @@
 	l       net.Listener
 	server  *http.Server // nil for the control port, which gRPC serves
 	handler http.Handler
+	bound   *limits.Listener // of the listener for callers
 }
 
 type listeners []*listener
@@ -83,7 +84,8 @@
 // wrap bounds the connections of callers and adds TLS.
 func (n *Node) wrap(l *listener, t *static.TLS) error {
 	if l.name == "callers" {
-		l.l = limits.NewListener(l.l, n.settings.MaxConnections, n.settings.MaxPerCaller)
+		l.bound = limits.NewListener(l.l, n.settings.MaxConnections, n.settings.MaxPerCaller)
+		l.l = l.bound
 	}
 	if t == nil {
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	local     *localTargets
 	balancer  *loadbalancer.Balancer
 	budgets   *budgets
+	gate      *limits.ClassGate
 	rates     *limits.RateLimiter
 	orders    *orders
 	observer  *observer
@@ -146,7 +147,7 @@
 
 // startControl starts the parts that hold control state.
 func (n *Node) startControl(ctx context.Context) error {
-	local := peer.Local{Node: n.self.ID, Incarnation: n.self.Incarnation, Progress: n.progress, OnHeader: n.onHeader}
+	local := peer.Local{Node: n.self.ID, Incarnation: n.self.Incarnation, Progress: n.progress, OnHeader: n.onHeader, OnTraffic: n.operators.metrics.PeerCall}
 	settings := peerSettings(n.settings)
 	var err error
 	if n.client, err = peer.NewClient(settings, local); err != nil {
@@ -225,7 +226,8 @@
 }
 
 func (n *Node) buildProxy() error {
-	reg := filters.NewRegistry(filters.Resources{Rates: n.rates, Gate: limits.NewClassGate(maxInFlight), Clock: n.clock})
+	n.gate = limits.NewClassGate(maxInFlight)
+	reg := filters.NewRegistry(filters.Resources{Rates: n.rates, Gate: n.gate, Clock: n.clock})
 	before, err := reg.Chain(filters.BeforeRouting())
 	if err != nil {
 		return err
--- a/node/operator.go
+++ b/node/operator.go
@@ -14,9 +14,10 @@
 // operators holds what this node shows to operators. It implements
 // operator.Source.
 type operators struct {
-	n      *Node
-	events *events.Log
-	burner *burner
+	n       *Node
+	events  *events.Log
+	burner  *burner
+	metrics *operator.Metrics
 
 	mu       sync.Mutex
 	listedAt map[string]time.Time // when the list of a service was received
@@ -29,7 +30,9 @@
 	o := &operators{n: n, listedAt: map[string]time.Time{}}
 	o.events = events.NewLog(events.Config{Node: n.self.ID, Version: n.routes.Version})
 	o.burner = newBurner(n)
+	o.metrics = operator.NewMetrics()
 	n.observer.operate = o.finished
+	n.local.waited = o.metrics.Waited
 	return o
 }
 
--- a/node/operator_events.go
+++ b/node/operator_events.go
@@ -18,6 +18,9 @@
 // finished takes the result of every request at this node as entry or home.
 func (o *operators) finished(r *proxy.Result) {
 	o.burner.finished(r)
+	if r.Hop == proxy.HopEntry {
+		o.metrics.Request(r.Class, r.Service != "", r.Code, r.Ran, r.Attempts, r.Took)
+	}
 	if r.Code == resultcode.Answered && r.Attempts <= 1 && r.Status < http.StatusInternalServerError {
 		return
 	}
--- a/node/targets.go
+++ b/node/targets.go
@@ -21,10 +21,11 @@
 	clock   func() time.Duration
 	mu      sync.Mutex
 	slots   map[string]*limits.Slots
+	waited  func(time.Duration) // receives the wait of each request for its slot
 }
 
 func newLocalTargets(service func(string) (*routing.Service, bool), clock func() time.Duration) *localTargets {
-	t := &localTargets{service: service, clock: clock, slots: map[string]*limits.Slots{}}
+	t := &localTargets{service: service, clock: clock, slots: map[string]*limits.Slots{}, waited: func(time.Duration) {}}
 	t.byID.Store(&map[string]proxy.Target{})
 	return t
 }
@@ -93,9 +94,23 @@
 	if s == nil {
 		return nil, errNotAnnounced
 	}
+	start := t.clock()
 	ticket, err := s.Acquire(ctx, class, time.Until(deadline))
+	t.waited(t.clock() - start)
 	if err != nil {
 		return nil, err
 	}
 	return ticket.Release, nil
 }
+
+// load returns the requests that run and wait at the targets.
+func (t *localTargets) load() (running, waiting int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.slots {
+		r, w := s.Load()
+		running += r
+		waiting += w
+	}
+	return running, waiting
+}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -34,6 +34,7 @@
 	h.get("/v1/status", h.status)
 	h.get("/v1/events", h.events)
 	h.get("/v1/burn", h.burn)
+	h.mux.HandleFunc("GET /v1/metrics", h.metrics)
 	h.mux.HandleFunc("POST /v1/drain/{target}", h.change(h.source.Drain))
 	h.mux.HandleFunc("DELETE /v1/drain/{target}", h.change(h.source.Undrain))
 	h.mux.HandleFunc("GET /healthz", h.healthz)
@@ -82,6 +83,24 @@
 	return h.source.Burn(), nil
 }
 
+// metrics answers with JSON, or with lines of text for ?format=text.
+func (h *Handler) metrics(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	err := checkQuery(q, "format")
+	if f := q.Get("format"); err == nil && f != "" && f != "json" && f != "text" {
+		err = problem(http.StatusBadRequest, fmt.Sprintf("format is %.40q, want json or text", f))
+	}
+	switch {
+	case err != nil:
+		write(w, nil, err)
+	case q.Get("format") == "text":
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		h.source.Metrics().WriteText(w)
+	default:
+		write(w, h.source.Metrics().Registry(), nil)
+	}
+}
+
 // Changed is the answer to a drain or the end of one.
 type Changed struct {
 	Target string `json:"target"`
--- a/operator/source.go
+++ b/operator/source.go
@@ -23,6 +23,8 @@
 	Events(f events.Filter) events.Page
 	// Burn returns what the node counted and what it holds of other nodes.
 	Burn() *burn.Report
+	// Metrics returns the metrics with fresh gauges.
+	Metrics() *Metrics
 	// Drain makes a target take no new work. It returns the node beside the
 	// target, or one of the errors of this package.
 	Drain(ctx context.Context, target string) (host string, err error)
--- a/peer/client.go
+++ b/peer/client.go
@@ -110,6 +110,7 @@
 	if err := cc.conn.Invoke(ctx, fullMethod, in, out, grpc.Peer(&p)); err != nil {
 		return nil, err
 	}
+	c.local.traffic(method, len(out.Body), len(body))
 	if err := c.checkResponse(ctx, addr, method, &p, out); err != nil {
 		return nil, err
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -182,6 +182,7 @@
 		return nil, status.Errorf(codes.Unimplemented, "no method %q", in.Header.Method)
 	}
 	body, err := h(ctx, from, in.Body)
+	s.local.traffic(in.Header.Method, len(in.Body), len(body))
 	out := &envelope{Header: s.local.header(in.Header.Method), Body: body}
 	if len(body) > MaxMessageBytes-headroom {
 		return nil, status.Errorf(codes.ResourceExhausted, "response of %d bytes", len(body))
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -80,6 +80,9 @@
 	// OnHeader receives the header of each accepted envelope; may be nil. It is
 	// called from many goroutines and must not block.
 	OnHeader func(from Identity, h Header)
+	// OnTraffic receives the sizes of the bodies of each call, as client and as
+	// server, in bytes; may be nil. It must not block.
+	OnTraffic func(method string, received, sent int)
 }
 
 // Progress is the configuration and log state of a node.
@@ -103,6 +106,12 @@
 	}
 }
 
+func (l Local) traffic(method string, received, sent int) {
+	if l.OnTraffic != nil {
+		l.OnTraffic(method, received, sent)
+	}
+}
+
 // Identity is the sender of a message.
 type Identity struct {
 	Node        string
