--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -84,11 +84,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitError
 	}
-<<<<<<< HEAD
-	log.SetHandler(logfmt.New(os.Stderr))
-=======
-	log.SetHandler(operator.NewLogLimit(text.New(os.Stderr)))
->>>>>>> operator
+	log.SetHandler(operator.NewLogLimit(logfmt.New(os.Stderr)))
 	log.SetLevelFromString(s.LogLevel)
 	return serve(s)
 }
@@ -129,11 +125,7 @@
 	defer stop()
 	var logger log.Interface
 	if *verbose {
-<<<<<<< HEAD
-		logger = &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
-=======
-		logger = &log.Logger{Handler: operator.NewLogLimit(text.New(os.Stderr)), Level: log.InfoLevel}
->>>>>>> operator
+		logger = &log.Logger{Handler: operator.NewLogLimit(logfmt.New(os.Stderr)), Level: log.InfoLevel}
 	}
 	r, err := demo.Run(ctx, *length, os.Stdout, logger)
 	if err != nil {
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -16,12 +16,12 @@
 }
 
 func runCheck(args []string, stdout, stderr io.Writer) int {
-	fs := newFlags("check", "[-json] [-instances SERVICE=N,...] FILE", stdout,
+	fs := flagsFor("check", "[-json] [-instances SERVICE=N,...] FILE", stdout,
 		resultcode.CommandOK, resultcode.BadUsage, resultcode.InvalidManifest)
 	asJSON := fs.Bool("json", false, "print JSON")
 	known := instanceCounts{}
 	fs.Var(known, "instances", "known instances of services, as `SERVICE=N,...`; a floor above them is a problem")
-	if exit := parseFlags(fs, args, 1, stderr); exit >= 0 {
+	if exit := parseExact(fs, args, 1, stderr); exit >= 0 {
 		return exit
 	}
 	data, err := os.ReadFile(fs.Arg(0))
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -39,9 +39,9 @@
 	return exitError
 }
 
-// newFlags returns a flag set whose -h prints the usage line, the flags and the
+// flagsFor returns a flag set whose -h prints the usage line, the flags and the
 // exit codes that the command can give.
-func newFlags(name, arguments string, stdout io.Writer, codes ...resultcode.Code) *flag.FlagSet {
+func flagsFor(name, arguments string, stdout io.Writer, codes ...resultcode.Code) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(stdout)
 	fs.Usage = func() {
@@ -66,9 +66,9 @@
 	}
 }
 
-// parseFlags parses the flags and wants an exact number of arguments. The exit
+// parseExact parses the flags and wants an exact number of arguments. The exit
 // code is negative if the command goes on.
-func parseFlags(fs *flag.FlagSet, args []string, want int, stderr io.Writer) int {
+func parseExact(fs *flag.FlagSet, args []string, want int, stderr io.Writer) int {
 	var problems strings.Builder
 	usage := fs.Usage
 	fs.Usage = func() {}
--- a/ctl/publish.go
+++ b/ctl/publish.go
@@ -41,9 +41,9 @@
 }
 
 func runPublish(args []string, stdout, stderr io.Writer) int {
-	fs := newFlags("publish", "-log URL [-base N] [-json] FILE", stdout, publishCodes...)
+	fs := flagsFor("publish", "-log URL [-base N] [-json] FILE", stdout, publishCodes...)
 	op := operationFlags(fs)
-	if exit := parseFlags(fs, args, 1, stderr); exit >= 0 {
+	if exit := parseExact(fs, args, 1, stderr); exit >= 0 {
 		return exit
 	}
 	data, err := os.ReadFile(fs.Arg(0))
@@ -57,11 +57,11 @@
 }
 
 func runWithdraw(args []string, stdout, stderr io.Writer) int {
-	fs := newFlags("withdraw", "-log URL -mandate NAME -reason TEXT [-base N] [-json]", stdout, publishCodes...)
+	fs := flagsFor("withdraw", "-log URL -mandate NAME -reason TEXT [-base N] [-json]", stdout, publishCodes...)
 	op := operationFlags(fs)
 	mandate := fs.String("mandate", "", "`NAME` of the mandate")
 	reason := fs.String("reason", "", "`TEXT` that states why; it is kept with the withdrawal")
-	if exit := parseFlags(fs, args, 0, stderr); exit >= 0 {
+	if exit := parseExact(fs, args, 0, stderr); exit >= 0 {
 		return exit
 	}
 	if *mandate == "" || *reason == "" {
