Fail checkpoint appends in the retention test

A writer that went on after a failed append passed the tests, since only lost answers were injected. The test now refuses appends half of the time as well, and fails for such a writer. A joined node forgets which peers it asked, so that names of replaced hosts do not pile up.

--- a/control/controller.go
+++ b/control/controller.go
@@ -108,6 +108,10 @@
 	}
 	c.peers.expire(now.Add(-c.cfg.AskTimeout))
 	c.join()
+	if c.joined {
+		clear(c.peers.answered)
+		clear(c.peers.failed)
+	}
 	c.publish()
 	c.readLog(now)
 	c.askPeers(now)
--- a/control/retention_test.go
+++ b/control/retention_test.go
@@ -18,8 +18,8 @@
 }
 
 // Guards against a log that no longer suffices to restore the state, while
-// records expire, answers to checkpoint appends are lost, hosts are replaced
-// all the time, and then nothing changes for three retention times.
+// records expire, checkpoint appends fail or lose their answers, hosts are
+// replaced all the time, and then nothing changes for three retention times.
 func TestCheckpointsKeepTheLogSufficient(t *testing.T) {
 	f := newFakeFleet(t, 4, 7)
 	f.loseAnswers = true
@@ -34,6 +34,7 @@
 		if i%600 == 599 {
 			f.replace(f.nodes[i/600%len(f.nodes)])
 		}
+		f.appendsDown = i%13 < 6
 		f.log.expireBefore(f.clock.now().Add(-f.retention))
 		f.step()
 		if i%20 != 0 {
