--- a/membership/sync.go
+++ b/membership/sync.go
@@ -129,22 +129,39 @@
 			fetch = append(fetch, v.ID)
 		}
 	}
-	var send []string
+	var send []Update
+	size := 0
 	for _, id := range c.order {
-		if bucketOf(id) == msg.Bucket && c.members[id].newerThan(theirs[id]) {
-			send = append(send, id)
+		m := c.members[id]
+		if bucketOf(id) != msg.Bucket || !m.newerThan(theirs[id]) {
+			continue
+		}
+		u := m.updateFor(now, theirs[id])
+		if size += u.size(); size > pageBytes && len(send) > 0 {
+			break
 		}
+		send = append(send, u)
 	}
 	var out []Outgoing
 	if len(fetch) > 0 {
 		out = append(out, c.answer(msg, &Message{Kind: Fetch, IDs: fetch}))
 	}
 	if len(send) > 0 {
-		out = append(out, c.answer(msg, &Message{Kind: State, Updates: c.records(now, send)}))
+		out = append(out, c.answer(msg, &Message{Kind: State, Updates: send}))
 	}
 	return out
 }
 
+// updateFor returns what a node with version v lacks; v is nil if it has none.
+func (m *member) updateFor(now time.Duration, v *Version) Update {
+	if v != nil && v.Incarnation == m.life.incarnation && v.Status < Dead {
+		if u := m.delta(now, v.Seq); u.Content == Delta {
+			return u
+		}
+	}
+	return m.full(now)
+}
+
 func (v *Version) newerThan(m *member) bool {
 	l := life{v.Incarnation, v.Refutation, v.Status}
 	if l.incarnation != m.life.incarnation {
