Attribute failed orders to targets; keep slow readers from the operators' API

Cause: the entry node of a keyed order does not know its target, so that failed orders had no target in the burn report. Four readers that do not read could block the API, and /healthz with it.

Change: the home of an order adds the target to its counts of bad requests. Answers have 30 s to be written, /healthz takes no place, and the listener accepts 64 connections. Compressors are reused. A test puts an ejection list in force and reads ejected, trial and gray targets from the status.

--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -95,7 +95,7 @@
 	if s.Answered {
 		_ = c.latency.RecordValue(min(int64(s.Took/latencyUnit), maxLatency))
 	}
-	if s.Verdict == Good || s.Verdict == Excluded {
+	if !s.Verdict.Bad() {
 		return
 	}
 	for _, p := range []*period{&r.minute, &r.hour} {
@@ -104,6 +104,18 @@
 	}
 }
 
+// Blame adds a bad request to a target alone. The home of a keyed order calls
+// it: the entry node counts the request, and only the home knows the target.
+func (r *Recorder) Blame(service, target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.roll(r.now().Unix())
+	for _, p := range []*period{&r.minute, &r.hour} {
+		p.targets.add(service, shorten(target))
+		p.number++
+	}
+}
+
 func shorten(name string) string { return name[:min(len(name), maxNameBytes)] }
 
 func (r *Recorder) cell(s *Sample) *cell {
--- a/burn/slot.go
+++ b/burn/slot.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -98,16 +99,24 @@
 	return mode
 }()
 
+// writers are kept because a new one takes more than 1 MB.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	return w
+}}
+
 func pack(k Key, number uint64, s *Slot) (Packed, error) {
 	raw, err := cbor.Marshal(s)
 	if err != nil {
 		return Packed{}, fmt.Errorf("pack slot: %w", err)
 	}
 	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return Packed{}, fmt.Errorf("pack slot: %w", err)
-	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&buf)
 	_, err = w.Write(raw)
 	if err := errors.Join(err, w.Close()); err != nil {
 		return Packed{}, fmt.Errorf("pack slot: %w", err)
--- a/burn/verdict.go
+++ b/burn/verdict.go
@@ -28,6 +28,9 @@
 // String returns the name used in reports.
 func (v Verdict) String() string { return verdictNames[v%numVerdicts] }
 
+// Bad reports whether v spends the budget.
+func (v Verdict) Bad() bool { return v != Good && v != Excluded }
+
 // Outcome is how a request ended.
 type Outcome struct {
 	Code   resultcode.Code
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -18,6 +18,9 @@
 // idleTimeout closes connections of callers and peers that send nothing.
 const idleTimeout = 60 * time.Second
 
+// maxOperatorConns bounds the connections of operators.
+const maxOperatorConns = 64
+
 // listener is one open port.
 type listener struct {
 	name    string
@@ -83,6 +86,9 @@
 
 // wrap bounds the connections of callers and adds TLS.
 func (n *Node) wrap(l *listener, t *static.TLS) error {
+	if l.name == "operators" {
+		l.l = limits.NewListener(l.l, maxOperatorConns, 0)
+	}
 	if l.name == "callers" {
 		l.bound = limits.NewListener(l.l, n.settings.MaxConnections, n.settings.MaxPerCaller)
 		l.l = l.bound
--- a/node/operator_burn.go
+++ b/node/operator_burn.go
@@ -61,10 +61,10 @@
 	return b
 }
 
-// finished counts the result of a request. Only the entry node counts: it
-// knows what the caller got.
+// finished counts the result of a request. The entry node counts, because it
+// knows what the caller got; the home of an order adds the target.
 func (b *burner) finished(r *proxy.Result) {
-	if r.Service == "" || r.Hop != proxy.HopEntry {
+	if r.Service == "" {
 		return
 	}
 	objective := defaultObjective
@@ -72,8 +72,15 @@
 		objective = &s.Objective
 	}
 	o := burn.Outcome{Code: r.Code, Ran: r.Ran, Status: r.Status, Class: r.Class, Took: r.Took}
+	verdict := burn.Judge(&o, objective)
+	if r.Hop != proxy.HopEntry {
+		if verdict.Bad() {
+			b.recorder.Blame(r.Service, r.Target)
+		}
+		return
+	}
 	b.recorder.Record(&burn.Sample{
-		Service: r.Service, Class: r.Class, Target: r.Target, Customer: r.Customer, Verdict: burn.Judge(&o, objective),
+		Service: r.Service, Class: r.Class, Target: r.Target, Customer: r.Customer, Verdict: verdict,
 		Answered: r.Code == resultcode.Answered, Took: r.Took,
 	})
 }
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -19,6 +19,7 @@
 	"hyssopbridge/events"
 	"hyssopbridge/fleet"
 	"hyssopbridge/membership"
+	"hyssopbridge/operator"
 	"hyssopbridge/platformlog"
 	"hyssopbridge/platformlog/standin"
 	"hyssopbridge/proxy"
@@ -59,14 +60,27 @@
 	if _, err := p.Publish(context.Background(), "test", []byte(operatorManifest), control.HeadBase); err != nil {
 		t.Fatal(err)
 	}
-	f.announce(t, target)
+	f.announce(t, "reserve-1", target)
+	waitUntil(t, "the target is known everywhere", func() bool { return f.know(1) })
 	return f
 }
 
-func (f *operatorFleet) announce(t testing.TB, target http.HandlerFunc) {
+// know reports whether every node has a configuration and knows the given
+// number of targets in service.
+func (f *operatorFleet) know(targets int) bool {
+	for _, n := range f.nodes {
+		if set := n.balancer.Set("reserve"); n.Version() == 0 || set == nil || set.Stats().InService < targets {
+			return false
+		}
+	}
+	return true
+}
+
+// announce keeps a target beside the last node announced.
+func (f *operatorFleet) announce(t testing.TB, id string, target http.HandlerFunc) {
 	s := httptest.NewServer(target)
 	addr := f.nodes[len(f.nodes)-1].AnnounceAddr()
-	body := fmt.Sprintf(`{"id":"reserve-1","service":"reserve","address":%q,"slots":5,"connections":300,"state":"ready"}`, s.Listener.Addr())
+	body := fmt.Sprintf(`{"id":%q,"service":"reserve","address":%q,"slots":5,"connections":300,"state":"ready"}`, id, s.Listener.Addr())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); s.Close() })
 	go func() {
@@ -77,14 +91,6 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
-	waitUntil(t, "the target is known everywhere", func() bool {
-		for _, n := range f.nodes {
-			if set := n.balancer.Set("reserve"); n.Version() == 0 || set == nil || set.Stats().InService == 0 {
-				return false
-			}
-		}
-		return true
-	})
 }
 
 func waitUntil(t testing.TB, what string, ok func() bool) {
@@ -150,6 +156,41 @@
 	}
 }
 
+// Guards against a status that shows a target as ejected that the floor keeps
+// in service, and against ejections without an event.
+func TestStatusConditions(t *testing.T) {
+	f := startOperatorFleet(t, 1, breakOff)
+	n := f.nodes[0]
+	f.announce(t, "reserve-2", breakOff)
+	f.announce(t, "reserve-3", breakOff)
+	waitUntil(t, "three targets are known", func() bool { return f.know(3) })
+	n.lists.put(&fleet.EjectionList{Service: "reserve", Epoch: 1, Seq: 1, Entries: []fleet.Ejection{
+		{Target: "reserve-1", Reason: "slow", SinceMS: time.Now().UnixMilli()}, {Target: "reserve-2", Trial: 0.1, Reason: "errors"}, {Target: "reserve-3", Reason: "stalls"}}})
+	var got *operator.Status
+	waitUntil(t, "the list is applied", func() bool {
+		got = n.operators.Status(operator.StatusQuery{})
+		return got.Totals.Ejected == 2
+	})
+	var conditions []string
+	for _, v := range got.Targets {
+		conditions = append(conditions, v.ID+" "+v.Condition+" "+v.Reason)
+	}
+	want := "[reserve-3 gray stalls reserve-1 ejected slow reserve-2 trial errors]"
+	if s := got.Services[0]; fmt.Sprint(conditions) != want || !s.AtFloor || s.Clamped != 1 || s.ListAgeMS < 0 {
+		t.Errorf("targets %v, service %+v", conditions, s)
+	}
+	if p := n.operators.Events(events.Filter{Kinds: []events.Kind{events.Ejection}}); len(p.Events) != 3 {
+		t.Errorf("events %+v", p.Events)
+	}
+	if cut := n.operators.Status(operator.StatusQuery{Limit: 1}); len(cut.Targets) != 1 || cut.Omitted.Targets != 2 || cut.Totals.Targets != 3 {
+		t.Errorf("with a limit of 1: %+v", cut)
+	}
+	n.lists.put(&fleet.EjectionList{Service: "reserve", Epoch: 1, Seq: 2})
+	if p := n.operators.Events(events.Filter{Kinds: []events.Kind{events.Return}, Target: "reserve-2"}); len(p.Events) != 1 {
+		t.Errorf("events %+v", p.Events)
+	}
+}
+
 // Guards against counts that die with a node: after the entry node is gone, two
 // other nodes report what it had counted, and merging both counts it once.
 func TestBurnCopies(t *testing.T) {
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -16,6 +16,9 @@
 	// maxConcurrent bounds the requests that are handled at once. Answers for
 	// the whole fleet take processor time from traffic.
 	maxConcurrent = 4
+	// answerTimeout bounds the time to write an answer, so that a slow reader
+	// does not hold one of the places.
+	answerTimeout = 30 * time.Second
 	// maxBody bounds request bodies, which no request needs.
 	maxBody = 1 << 10
 )
@@ -44,9 +47,14 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	if r.URL.Path == "/healthz" {
+		h.mux.ServeHTTP(w, r)
+		return
+	}
 	select {
 	case h.running <- struct{}{}:
 		defer func() { <-h.running }()
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 		h.mux.ServeHTTP(w, r)
 	case <-r.Context().Done():
 	}
