Leave nodes that left in good order out of the status list

Cause: a trial with two node processes listed a stopped node first, as unsound.

Change: they are counted apart and not listed; dead nodes come after nodes that need attention. The target table says when none is announced.

Conclusion: tests of node, operator and ctl pass with -race.

--- a/ctl/statustable.go
+++ b/ctl/statustable.go
@@ -118,6 +118,10 @@
 
 func writeTargets(w io.Writer, s *operator.Status) {
 	fmt.Fprintln(w)
+	if s.Totals.Targets == 0 {
+		line(w, "TARGETS: none announced")
+		return
+	}
 	if len(s.Targets) == 0 {
 		line(w, "TARGETS: all %d are ready", s.Totals.Targets)
 		return
--- a/node/operator_status.go
+++ b/node/operator_status.go
@@ -51,6 +51,8 @@
 	return p.Age.Milliseconds()
 }
 
+// addNodes lists the nodes but those that left in good order, of which a large
+// fleet has thousands an hour.
 func (b *statusBuilder) addNodes() {
 	newest := max(b.out.ConfigVersion, b.o.n.versions.highest())
 	for v := range b.view.All() {
@@ -64,6 +66,9 @@
 			n.ConfigVersion, n.Lag, n.HeardAgeMS = p.version, newest-p.version, time.Since(p.at).Milliseconds()
 		}
 		b.countNode(v, &n)
+		if v.Status == membership.Left {
+			continue
+		}
 		b.out.Nodes = append(b.out.Nodes, n)
 	}
 }
@@ -76,7 +81,10 @@
 			t.NodesBehind++
 		}
 	}
-	if n.State != "alive" || n.LinkFault {
+	switch {
+	case v.Status == membership.Left:
+		t.NodesLeft++
+	case n.State != "alive" || n.LinkFault:
 		t.NodesUnsound++
 	}
 }
@@ -251,7 +259,8 @@
 func (b *statusBuilder) bound() {
 	limit, s := b.q.Max(), b.out
 	s.Nodes, s.Omitted.Nodes = cut(s.Nodes, limit, func(n operator.Node) (int, string) {
-		return rank(n.State != "alive" || n.LinkFault, n.Lag > 0, n.Lag < 0), n.ID
+		dead := n.State == membership.Dead.String()
+		return rank(!dead && (n.State != "alive" || n.LinkFault), !dead && n.Lag > 0, dead, n.Lag < 0), n.ID
 	})
 	s.Services, s.Omitted.Services = cut(s.Services, limit, func(v operator.Service) (int, string) {
 		return rank(v.Clamped > 0, v.Withheld > 0, v.AtFloor), v.Name
--- a/operator/metricdefs.go
+++ b/operator/metricdefs.go
@@ -44,7 +44,7 @@
 	{"peer_heard_age_ms", kindGauge, "ms", "Time since the last message of another node; -1 for never."},
 	{"live_nodes", kindGauge, "nodes", "Nodes that are neither dead nor left, with this one."},
 	{"behind_nodes", kindGauge, "nodes", "Live nodes whose stated configuration is older than the newest known."},
-	{"unsound_nodes", kindGauge, "nodes", "Nodes that are suspect, dead, left, leaving, or behind a link fault."},
+	{"unsound_nodes", kindGauge, "nodes", "Nodes that are suspect, dead, leaving, or behind a link fault."},
 	{"link_fault_nodes", kindGauge, "nodes", "Nodes that only this node cannot reach."},
 	{"membership_dropped_messages_total", kindGauge, "messages", "Gossip messages not sent because too many were in progress."},
 	{"announced_targets", kindGauge, "targets", "Targets known in the fleet."},
--- a/operator/status.go
+++ b/operator/status.go
@@ -45,6 +45,7 @@
 	Nodes         int `json:"nodes"`
 	NodesBehind   int `json:"nodes_behind"`
 	NodesUnsound  int `json:"nodes_unsound"` // suspect, dead, leaving, or with a link fault
+	NodesLeft     int `json:"nodes_left"`    // that left in the last hour; not listed
 	Services      int `json:"services"`
 	AtFloor       int `json:"services_at_floor"`
 	Targets       int `json:"targets"`
@@ -76,7 +77,7 @@
 	Zone          string `json:"zone"`
 	Region        string `json:"region"`
 	Incarnation   int64  `json:"incarnation"` // process start, Unix ms
-	State         string `json:"state"`       // alive, suspect, leaving, dead or left
+	State         string `json:"state"`       // alive, suspect, leaving or dead
 	LinkFault     bool   `json:"link_fault"`  // unreachable from this node, reachable from others
 	ConfigVersion int64  `json:"config_version"`
 	Lag           int64  `json:"lag"`          // log offsets behind the newest version known here; -1: not heard
