--- a/burn/slot.go
+++ b/burn/slot.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -28,8 +29,19 @@
 	Incarnation int64  `cbor:"2,keyasint" json:"incarnation"` // process start, Unix ms
 	StartS      int64  `cbor:"3,keyasint" json:"start_s"`     // Unix s
 	LengthS     int64  `cbor:"4,keyasint" json:"length_s"`    // MinuteS or HourS
+	Part        Part   `cbor:"7,keyasint,omitempty" json:"part"`
 }
 
+// Part tells what a slot holds. Histograms are apart from counts because they
+// are ten times as long; copies of an hour's histograms are sent once.
+type Part uint8
+
+// Parts.
+const (
+	PartCounts  Part = iota
+	PartLatency      // hours only
+)
+
 // EndS returns the end of the slot, in Unix s.
 func (k *Key) EndS() int64 { return k.StartS + k.LengthS }
 
@@ -87,16 +99,24 @@
 	return mode
 }()
 
+// writers are kept because a new one takes more than 1 MB.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	return w
+}}
+
 func pack(k Key, number uint64, s *Slot) (Packed, error) {
 	raw, err := cbor.Marshal(s)
 	if err != nil {
 		return Packed{}, fmt.Errorf("pack slot: %w", err)
 	}
 	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return Packed{}, fmt.Errorf("pack slot: %w", err)
-	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&buf)
 	_, err = w.Write(raw)
 	if err := errors.Join(err, w.Close()); err != nil {
 		return Packed{}, fmt.Errorf("pack slot: %w", err)
--- a/node/operator_burn.go
+++ b/node/operator_burn.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// burnCopyEvery leaves room for two lost copies within the 60 s that the
-	// replacement of a node may lose.
-	burnCopyEvery = 20 * time.Second
+	// burnCopyEvery keeps the loss within the 60 s that the replacement of a
+	// node may lose, also when one copy is lost.
+	burnCopyEvery = 28 * time.Second
 	// burnHolders is the number of other nodes with a copy.
 	burnHolders = 2
 	// burnMessage bounds one copy message, in bytes of slots.
@@ -61,10 +61,10 @@
 	return b
 }
 
-// finished counts the result of a request. Only the entry node counts: it
-// knows what the caller got.
+// finished counts the result of a request. The entry node counts, because it
+// knows what the caller got; the home of an order adds the target.
 func (b *burner) finished(r *proxy.Result) {
-	if r.Service == "" || r.Hop != proxy.HopEntry {
+	if r.Service == "" {
 		return
 	}
 	objective := defaultObjective
@@ -72,8 +72,15 @@
 		objective = &s.Objective
 	}
 	o := burn.Outcome{Code: r.Code, Ran: r.Ran, Status: r.Status, Class: r.Class, Took: r.Took}
+	verdict := burn.Judge(&o, objective)
+	if r.Hop != proxy.HopEntry {
+		if verdict.Bad() {
+			b.recorder.Blame(r.Service, r.Target)
+		}
+		return
+	}
 	b.recorder.Record(&burn.Sample{
-		Service: r.Service, Class: r.Class, Target: r.Target, Customer: r.Customer, Verdict: burn.Judge(&o, objective),
+		Service: r.Service, Class: r.Class, Target: r.Target, Customer: r.Customer, Verdict: verdict,
 		Answered: r.Code == resultcode.Answered, Took: r.Took,
 	})
 }
@@ -98,7 +105,7 @@
 			delete(b.holders, id)
 		}
 	}
-	slots := b.own.Slots()
+	slots := b.own.Copies(time.Now())
 	for _, v := range chosen {
 		b.copyTo(ctx, v, slots)
 	}
@@ -198,7 +205,7 @@
 
 // report returns the slots of this node and those it holds of others.
 func (b *burner) report() *burn.Report {
-	b.recorder.Flush()
+	b.recorder.FlushAll()
 	r := &burn.Report{}
 	for _, v := range b.n.members.View().Nodes() {
 		r.Live = append(r.Live, v.ID)
