--- a/health/explain.go
+++ b/health/explain.go
@@ -1,9 +1,13 @@
 package health
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	sharedTargets = 3 // other targets at which a bad route shows
+	witnessRatio  = 3 // good answers per bad one of a source that counts as good
 	witnessGoods  = 2 // good answers elsewhere that make a split between sources credible
 	repeatBad     = 2 // bad requests of one node in a row that may be a link fault
 )
@@ -21,45 +25,80 @@
 func classOf(s *sample) int { return int(s.class) }
 
 func (c *Core) dropZones(t *target, items []sample) []sample {
-	return dropRuns(t, items, zoneOf, 1, 1)
+	return dropRuns(t, items, zoneOf, 1, 0.5)
 }
 
 func (c *Core) dropNodes(t *target, items []sample) []sample {
 	return dropRuns(t, items, nodeOf, repeatBad, 2)
 }
 
+// verdict is a source whose bad requests after a time are explained.
+type verdict struct {
+	id        int
+	explained bool
+	after     time.Duration
+}
+
 // dropRuns drops the bad requests of a source since its last good answer if
-// there are at least least of them and sources without bad requests got
-// goodsPerBad times as many good answers meanwhile.
-func dropRuns(t *target, items []sample, source func(*sample) int, least, goodsPerBad int) []sample {
-	var rest []sample
+// there are at least least of them and other sources got goodsPerBad times as
+// many good answers meanwhile.
+func dropRuns(t *target, items []sample, source func(*sample) int, least int, goodsPerBad float64) []sample {
+	// A broken link loses or delays answers; it does not truncate them.
+	cut, rest := split(items, func(s *sample) bool { return s.outcome != Truncated })
+	return append(rest, dropCut(t, cut, source, least, goodsPerBad)...)
+}
+
+func split(items []sample, match func(*sample) bool) (yes, no []sample) {
 	for i := range items {
-		id := source(&items[i])
+		if match(&items[i]) {
+			yes = append(yes, items[i])
+		} else {
+			no = append(no, items[i])
+		}
+	}
+	return yes, no
+}
+
+func dropCut(t *target, items []sample, source func(*sample) int, least int, goodsPerBad float64) []sample {
+	return dropExplained(items, source, func(id int) verdict {
 		last := lastGood(t, source, id)
 		first, n := run(items, source, id, last)
-		inRun := items[i].start > last && n >= least
-		if inRun && witnesses(t, items, source, first) >= max(witnessGoods, goodsPerBad*n) {
-			continue
+		v := verdict{id: id, after: last}
+		if n >= least {
+			v.explained = witnesses(t, items, source, id, first) >= max(witnessGoods, int(goodsPerBad*float64(n)))
 		}
-		rest = append(rest, items[i])
-	}
-	return rest
+		return v
+	})
 }
 
 // dropClasses drops bad requests of a class that is bad at several other
 // targets too while other classes get good answers here.
 func (c *Core) dropClasses(now time.Duration, t *target, items []sample) []sample {
+	return dropExplained(items, classOf, func(id int) verdict {
+		v := verdict{id: id, after: now - faultWindow}
+		if c.sharedClass(now, t, id) < sharedTargets {
+			return v
+		}
+		first, n := run(items, classOf, id, v.after)
+		v.explained = n > 0 && witnesses(t, items, classOf, id, first) >= max(witnessGoods, n)
+		return v
+	})
+}
+
+// dropExplained judges each source once.
+func dropExplained(items []sample, source func(*sample) int, judge func(id int) verdict) []sample {
+	var known []verdict
 	var rest []sample
 	for i := range items {
-		k := int(items[i].class)
-		shared := c.sharedClass(now, t, k) >= sharedTargets
-		if shared {
-			first, _ := run(items, classOf, k, now-faultWindow)
-			if witnesses(t, items, classOf, first) >= max(witnessGoods, len(items)) {
-				continue
-			}
+		id := source(&items[i])
+		k := slices.IndexFunc(known, func(v verdict) bool { return v.id == id })
+		if k < 0 {
+			k = len(known)
+			known = append(known, judge(id))
+		}
+		if !known[k].explained || items[i].start <= known[k].after {
+			rest = append(rest, items[i])
 		}
-		rest = append(rest, items[i])
 	}
 	return rest
 }
@@ -110,16 +149,28 @@
 	return first, n
 }
 
-// witnesses counts good answers since a time from sources without a bad one
-// since then.
-func witnesses(t *target, items []sample, source func(*sample) int, since time.Duration) int {
+// witnesses counts good answers since a time from other sources that got
+// clearly more good answers than bad ones since then.
+func witnesses(t *target, items []sample, source func(*sample) int, id int, since time.Duration) int {
 	n := 0
 	for i := range t.good.buf {
 		s := &t.good.buf[i]
-		if s.start <= since {
+		other := source(s)
+		if s.start <= since || other == id {
 			continue
 		}
-		if _, bad := run(items, source, source(s), since-1); bad == 0 {
+		_, bad := run(items, source, other, since-1)
+		if bad == 0 || goods(t, source, other, since) >= witnessRatio*bad {
+			n++
+		}
+	}
+	return n
+}
+
+func goods(t *target, source func(*sample) int, id int, since time.Duration) int {
+	n := 0
+	for i := range t.good.buf {
+		if s := &t.good.buf[i]; s.start > since && source(s) == id {
 			n++
 		}
 	}
