--- a/health/reference.go
+++ b/health/reference.go
@@ -13,18 +13,21 @@
 	refBaseMS     = 0.25 // lower edge of the first bin, in ms
 	refHalfLife   = 60 * time.Second
 	refDecayEvery = time.Second
+	refTableEvery = 250 * time.Millisecond
 	refMinSamples = 30
 	tailExponent  = 3   // assumed power of the tail beyond the slowest samples
 	classPrior    = 20  // samples
+	maxFailLLR    = 5.5 // nats; above the bound of a slow answer, which noise produces more often
 	failShare     = 0.1 // share of failures in the alternative hypothesis
 )
 
 // reference is the pooled distribution of answers of all targets, per class.
 type reference struct {
-	classes  [fleet.NumClasses]classReference
-	decayed  time.Duration
-	samples  float64
-	failures float64
+	classes   [fleet.NumClasses]classReference
+	decayed   time.Duration
+	tabulated time.Duration
+	samples   float64
+	failures  float64
 }
 
 type classReference struct {
@@ -69,6 +72,10 @@
 		r.decay(now - r.decayed)
 		r.decayed = now
 	}
+	if r.tabulated > 0 && now-r.tabulated < refTableEvery {
+		return
+	}
+	r.tabulated = now
 	for i := range r.classes {
 		r.classes[i].tabulate(r.failureRank(&r.classes[i]))
 	}
@@ -101,7 +108,7 @@
 	if !c.ready {
 		return
 	}
-	c.failLLR = math.Min(math.Log(1-badShare+failShare/failRank), rankLLR(0))
+	c.failLLR = math.Min(math.Log(1-badShare+failShare/failRank), maxFailLLR)
 	answered := c.samples - c.failures
 	rest := answered
 	rank := 1.0
