--- a/health/core.go
+++ b/health/core.go
@@ -23,9 +23,8 @@
 	faults   faults
 	links    links
 
-	condemnedDirty bool
-	decisions      []Decision
-	scratch        []*sample
+	decisions []Decision
+	scratch   []*sample
 }
 
 // New returns a Core with the tuning that belongs to the preference.
--- a/replay/generate.go
+++ b/replay/generate.go
@@ -70,7 +70,6 @@
 	rng    *rand.Rand
 	trace  *Trace
 	effect func(g *generator, r *request)
-	ends   []Event
 	probe  func(at time.Duration, target int) bool // false: the probe fails
 }
 
