Record traffic as traces, bound clock and identity faults

Cause: the trace file setting was not connected; a test with short limits could fail on a busy machine and then wait for a stream for 600 s (seen once at load 35); a second process with a node's ID was not acted on.

--- a/config/static/check.go
+++ b/config/static/check.go
@@ -16,6 +16,7 @@
 	minHeaderBytes      = 1 << 10
 	maxHeaderBytes      = 1 << 20
 	maxDrainLimit       = 24 * time.Hour
+	maxLogRetention     = 10 * 365 * 24 * time.Hour
 	maxTimeout          = 10 * time.Minute
 )
 
@@ -35,9 +36,13 @@
 	c.number("max_per_caller", s.MaxPerCaller, 1, maxConnectionsLimit)
 	c.number("max_header_bytes", s.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.duration("drain_limit", s.DrainLimit, time.Second, maxDrainLimit)
+	c.duration("log_retention", s.LogRetention, time.Minute, maxLogRetention)
 	c.duration("header_timeout", s.HeaderTimeout, 100*time.Millisecond, maxTimeout)
 	c.duration("body_idle_timeout", s.BodyIdle, 100*time.Millisecond, maxTimeout)
 	c.level(s.LogLevel)
+	if (s.TraceFile == "") != (s.TraceService == "") {
+		c.fail("trace_file", "trace_file and trace_service are set together")
+	}
 	return c.problems
 }
 
--- a/config/static/settings.go
+++ b/config/static/settings.go
@@ -17,6 +17,8 @@
 	Join []string `json:"join,omitempty"` // control addresses of other nodes; default none
 	Log  string   `json:"log"`            // base URL of the platform's log; required
 
+	LogRetention Duration `json:"log_retention,omitempty"` // how long the log keeps records; the same on all nodes; default "24h"
+
 	TLS           *TLS   `json:"tls,omitempty"`                 // listener for callers; absent for plain HTTP
 	PeerTLS       *TLS   `json:"peer_tls,omitempty"`            // mutual TLS between nodes; may be absent on loopback addresses only
 	PlainPeers    bool   `json:"allow_plain_peers"`             // permits plain text between nodes off loopback; default false
@@ -29,8 +31,12 @@
 	HeaderTimeout  Duration `json:"header_timeout,omitempty"`    // time to send the header section; default "5s"
 	BodyIdle       Duration `json:"body_idle_timeout,omitempty"` // longest gap between body bytes from a caller; default "10s"
 
-	LogLevel  string `json:"log_level,omitempty"`  // debug, info, warn or error; default "info"
-	TraceFile string `json:"trace_file,omitempty"` // records this node's traffic for replay; default none
+	LogLevel string `json:"log_level,omitempty"` // debug, info, warn or error; default "info"
+
+	// TraceFile and TraceService record this node's traffic of one service for
+	// hyssopctl replay, at most 1 min and 16 MiB; default none.
+	TraceFile    string `json:"trace_file,omitempty"`
+	TraceService string `json:"trace_service,omitempty"`
 }
 
 // TLS names key files. They are read again when they change.
@@ -69,6 +75,7 @@
 	defaultMaxHeaderBytes = 32 << 10
 	defaultHeaderTimeout  = Duration(5 * time.Second)
 	defaultBodyIdle       = Duration(10 * time.Second)
+	defaultLogRetention   = Duration(24 * time.Hour)
 	defaultLogLevel       = "info"
 )
 
@@ -83,6 +90,7 @@
 	setDefault(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setDefault(&s.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&s.BodyIdle, defaultBodyIdle)
+	setDefault(&s.LogRetention, defaultLogRetention)
 	setDefault(&s.LogLevel, defaultLogLevel)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,9 @@
 	n := &Node{settings: s, start: time.Now(), logger: log.Log, done: make(chan struct{}), observer: &observer{}}
 	n.observer.clock = n.clock
 	n.pause.n = n
+	if s.TraceFile != "" {
+		n.observer.trace = &traceRecorder{n: n, file: s.TraceFile, service: s.TraceService}
+	}
 	for _, o := range options {
 		o(n)
 	}
@@ -163,7 +166,7 @@
 	}
 	seed := maphash.String(maphash.MakeSeed(), n.self.ID)
 	n.watcher = control.NewWatcher(control.WatcherConfig{
-		Config: control.Config{Self: n.self, Seed: seed}, Log: n.log, Peers: n, OnSnapshot: n.onSnapshot, OnOutcome: n.onOutcome,
+		Config: control.Config{Self: n.self, Seed: seed, Retention: n.settings.LogRetention.Std()}, Log: n.log, Peers: n, OnSnapshot: n.onSnapshot, OnOutcome: n.onOutcome,
 	})
 	n.publisher = control.NewPublisher(control.PublisherConfig{Log: n.log, Snapshot: n.watcher.Current})
 	n.registry = registry.New(registry.Settings{}, nil, n.onTargets)
--- a/node/observe.go
+++ b/node/observe.go
@@ -47,6 +47,7 @@
 	lastID   atomic.Uint64
 	dropped  atomic.Int64
 	clock    func() time.Duration
+	trace    *traceRecorder // nil when traffic is not recorded
 	mu       sync.Mutex
 	pending  map[string][]event // by service; AgeUS holds the time of the event
 	count    int
@@ -101,6 +102,9 @@
 }
 
 func (o *observer) add(service string, e event) {
+	if o.trace != nil {
+		o.trace.note(service, &e)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.count >= maxEvidence {
--- a/node/pause.go
+++ b/node/pause.go
@@ -21,6 +21,16 @@
 
 var errPaused = resultcode.New(resultcode.StaleConfiguration, "the node was paused and has not confirmed its configuration yet")
 
+var errSuperseded = resultcode.New(resultcode.StaleConfiguration, "a later process has the ID of this node")
+
+// supersede ends the work of this process: a node ID names one process, and
+// records and leases of the earlier one no longer count.
+func (n *Node) supersede(later int64) {
+	if !n.pause.superseded.Swap(true) {
+		n.logger.WithField("incarnation", later).Error("a later process has the ID of this node; this one refuses all work and should be stopped")
+	}
+}
+
 // pauseGuard notices that the process was paused, and refuses work until a
 // peer has confirmed that the configuration is current. A node that slept
 // through a withdrawal would otherwise serve the mandate when it wakes.
@@ -28,10 +38,14 @@
 	n          *Node
 	beat       atomic.Int64 // node clock at the last beat, ns
 	confirming atomic.Bool
+	superseded atomic.Bool // a later process has this node's ID
 }
 
 // check returns an error while the configuration may be out of date.
 func (g *pauseGuard) check() error {
+	if g.superseded.Load() {
+		return errSuperseded
+	}
 	if g.confirming.Load() || g.n.clock()-time.Duration(g.beat.Load()) > maxPause {
 		return errPaused
 	}
--- a/node/reconcile.go
+++ b/node/reconcile.go
@@ -73,6 +73,9 @@
 	r.services, r.all = map[string]bool{}, false
 	r.mu.Unlock()
 	view := r.n.members.View()
+	if later := view.Superseded(); later != 0 {
+		r.n.supersede(later)
+	}
 	if view.Version() != r.view {
 		r.view = view.Version()
 		r.updateNodes(view)
--- /dev/null
+++ b/node/trace.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"os"
+	"sync"
+	"time"
+
+	"hyssopbridge/fleet"
+	"hyssopbridge/health"
+	"hyssopbridge/replay"
+)
+
+// traceRecorder writes the traffic of one service at this node as a trace for
+// hyssopctl replay. The trace begins with the first request after targets of
+// the service are known; its length and size are bounded by package replay.
+type traceRecorder struct {
+	n       *Node
+	file    string
+	service string
+	mu      sync.Mutex
+	rec     *replay.Recorder
+	began   time.Duration
+	failed  bool
+}
+
+// note records an event of the observer.
+func (t *traceRecorder) note(service string, e *event) {
+	if service != t.service {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rec == nil && !t.open() {
+		return
+	}
+	now := t.n.clock() - t.began
+	switch {
+	case e.Kind == eventStart:
+		t.rec.Start(now, health.Started{ID: e.ID, Node: t.n.self.ID, Zone: t.n.self.Zone, Target: e.Target, Class: e.Class, Idempotent: e.Idempotent})
+	case !e.Neutral:
+		t.rec.End(now, health.Ended{ID: e.ID, Outcome: e.Outcome, Latency: time.Duration(e.LatencyUS) * time.Microsecond})
+	}
+}
+
+// open creates the file; false means that recording is not possible now.
+func (t *traceRecorder) open() bool {
+	cfg := replay.RecorderConfig{Service: t.service, Floor: 1, Nodes: []replay.NodeInfo{{ID: t.n.self.ID, Zone: t.n.self.Zone}}}
+	if svc, ok := t.n.routes.service(t.service); ok {
+		cfg.Floor = svc.Floor
+	}
+	for _, e := range t.n.members.View().Endpoints(t.service) {
+		if e.State != fleet.Down {
+			cfg.Targets = append(cfg.Targets, replay.TargetInfo{ID: e.ID, Zone: e.Node.Zone, Slots: e.Slots})
+		}
+	}
+	if t.failed || len(cfg.Targets) == 0 {
+		return false
+	}
+	f, err := os.Create(t.file)
+	if err == nil {
+		t.rec, err = replay.NewRecorder(f, cfg)
+	}
+	if err != nil {
+		t.failed = true
+		t.n.logger.WithError(err).Error("traffic cannot be recorded")
+		return false
+	}
+	t.began = t.n.clock()
+	return true
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -235,7 +235,7 @@
 // not charged to the retry budget.
 func freeRetry(re *resultcode.Error) bool {
 	switch re.Code {
-	case resultcode.TargetLeaving, resultcode.NodeLeaving, resultcode.PeerUnreachable, resultcode.NoTarget:
+	case resultcode.TargetLeaving, resultcode.NodeLeaving, resultcode.PeerUnreachable, resultcode.NoTarget, resultcode.Barred:
 		return re.Ran == resultcode.RanNo
 	}
 	return false
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -313,6 +313,7 @@
 		w.Header().Set("Checksum", "c1")
 	})
 	pr, pw := io.Pipe()
+	defer pw.Close()
 	req, _ := http.NewRequest(http.MethodPost, f.entry.URL+"/order/1", pr)
 	tr := &http.Transport{Protocols: new(http.Protocols)}
 	tr.Protocols.SetUnencryptedHTTP2(h2)
