Report whole requests in one event

Cause: evidence took 47 to 68 B a request; at 393 requests/s of a node that is about 20 KB/s, against 3 KB/s for all control. Change: a request that ends before the report is one event without an ID, and a report lists its targets once.

--- a/node/detect.go
+++ b/node/detect.go
@@ -33,9 +33,10 @@
 
 // report carries a node's observations of one service to its arbiter.
 type report struct {
-	Service string  `cbor:"1,keyasint"`
-	Zone    string  `cbor:"2,keyasint"`
-	Events  []event `cbor:"3,keyasint"`
+	Service string   `cbor:"1,keyasint"`
+	Zone    string   `cbor:"2,keyasint"`
+	Targets []string `cbor:"4,keyasint"`
+	Events  []event  `cbor:"3,keyasint"`
 }
 
 type reportAnswer struct{}
@@ -60,6 +61,7 @@
 	heldAt    time.Duration     // when the lease was last held
 	targetsAt time.Duration
 	waiting   eventQueue
+	lastDone  uint64 // ID of the last request that was reported whole
 }
 
 func newDetector(n *Node) *detector {
@@ -75,15 +77,15 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			for service, events := range d.n.observer.take() {
-				d.route(ctx, service, events)
+			for service, v := range d.n.observer.take() {
+				d.route(ctx, service, v)
 			}
 		}
 	}
 }
 
-func (d *detector) route(ctx context.Context, service string, events []event) {
-	r := &report{Service: service, Zone: d.n.self.Zone, Events: events[:min(len(events), maxReportEvents)]}
+func (d *detector) route(ctx context.Context, service string, v *evidence) {
+	r := &report{Service: service, Zone: d.n.self.Zone, Targets: v.targets, Events: v.events[:min(len(v.events), maxReportEvents)]}
 	home, ok := d.n.orders.homeOf(service, "")
 	switch {
 	case !ok:
@@ -119,10 +121,37 @@
 	now := d.n.clock()
 	base := a.base(node)
 	for i := range r.Events {
-		a.waiting.add(now, queuedEvent{node: node, zone: r.Zone, base: base, event: r.Events[i]})
+		a.queue(now, queuedEvent{node: node, zone: r.Zone, base: base, event: r.Events[i]}, r.Targets)
 	}
 }
 
+// queue adds an event to the arbiter. A request that was reported whole becomes
+// a start and an end; one whose outcome says nothing is left out.
+func (a *arbiter) queue(now time.Duration, q queuedEvent, targets []string) {
+	if q.Kind != eventEnd && int(q.Target) >= len(targets) {
+		return
+	}
+	age := time.Duration(q.AgeMS) * time.Millisecond
+	if q.Kind != eventEnd {
+		q.target = targets[q.Target]
+	}
+	if q.Kind != eventDone {
+		a.waiting.add(now-min(max(0, age), maxEventAge), q)
+		return
+	}
+	if q.Neutral {
+		return
+	}
+	a.lastDone++
+	q.ID, q.base = a.lastDone, doneBase
+	start, end := q, q
+	start.Kind, end.Kind = eventStart, eventEnd
+	at := now - min(max(0, age), maxEventAge)
+	took := time.Duration(q.LatencyUS) * time.Microsecond
+	a.waiting.add(at-min(max(0, took), maxEventAge), start)
+	a.waiting.add(at, end)
+}
+
 // arbiter returns the core of a service. A new epoch, or a changed floor or
 // preference, starts from the list in force.
 func (d *detector) arbiter(service string, prefer manifest.Preference, floor int, epoch int64) *arbiter {
@@ -147,6 +176,10 @@
 	return a
 }
 
+// doneBase is the offset of the IDs that the arbiter gives to requests that
+// were reported whole.
+const doneBase = 1 << 62
+
 // base returns an offset for the request IDs of a node.
 func (a *arbiter) base(node string) uint64 {
 	base, ok := a.nodeIDs[node]
@@ -176,7 +209,7 @@
 	id := q.base | e.ID&(1<<48-1)
 	switch e.Kind {
 	case eventStart:
-		a.core.Start(now, health.Started{ID: id, Node: q.node, Zone: q.zone, Target: e.Target, Class: e.Class, Idempotent: e.Idempotent})
+		a.core.Start(now, health.Started{ID: id, Node: q.node, Zone: q.zone, Target: q.target, Class: e.Class, Idempotent: e.Idempotent})
 	case eventEnd:
 		if e.Neutral {
 			a.core.Cancel(id)
--- a/node/eventqueue.go
+++ b/node/eventqueue.go
@@ -9,6 +9,7 @@
 type queuedEvent struct {
 	event
 	node, zone string
+	target     string
 	base       uint64
 	at         time.Duration
 	order      uint64 // of arrival, for equal times
@@ -20,14 +21,13 @@
 	order uint64
 }
 
-// add queues an event that arrived at now. Events beyond the bound are dropped.
-func (q *eventQueue) add(now time.Duration, e queuedEvent) {
+// add queues an event of the given time. Events beyond the bound are dropped.
+func (q *eventQueue) add(at time.Duration, e queuedEvent) {
 	if len(q.heap) >= maxWaiting {
 		return
 	}
-	age := min(max(0, time.Duration(e.AgeUS)*time.Microsecond), maxEventAge)
 	q.order++
-	e.at, e.order = now-age, q.order
+	e.at, e.order = at, q.order
 	heap.Push(&q.heap, e)
 }
 
--- a/node/observe.go
+++ b/node/observe.go
@@ -23,21 +23,38 @@
 const (
 	eventStart eventKind = iota + 1
 	eventEnd
+	eventDone // start and end of a request that ended before the report
 )
 
-// event is one observation in a report. A request that starts and ends
-// between two reports is two events.
+// event is one observation in a report.
 type event struct {
 	_          struct{} `cbor:",toarray"`
 	Kind       eventKind
-	ID         uint64 // unique among the requests of the reporting node
-	Target     string // eventStart
+	ID         uint64 // unique among the requests of the reporting node; 0 for eventDone
+	Target     uint16 // index in the report's targets; not eventEnd
 	Class      fleet.Class
 	Idempotent bool
-	Outcome    health.Outcome // eventEnd
-	LatencyUS  int64          // eventEnd, µs
-	Neutral    bool           // eventEnd: the outcome says nothing about the target
-	AgeUS      int64          // time from the event to its report, µs
+	Outcome    health.Outcome // not eventStart
+	LatencyUS  int64          // not eventStart, µs
+	Neutral    bool           // not eventStart: the outcome says nothing about the target
+	AgeMS      int64          // time from the event, or from the end of eventDone, to its report, ms
+}
+
+// evidence is what was observed of one service since the last report.
+type evidence struct {
+	targets []string
+	events  []event
+	times   []time.Duration // of the events
+}
+
+func (v *evidence) target(id string) uint16 {
+	for i, known := range v.targets {
+		if known == id {
+			return uint16(i)
+		}
+	}
+	v.targets = append(v.targets, id)
+	return uint16(len(v.targets) - 1)
 }
 
 // observer collects what the entry handler sees. It implements proxy.Observer.
@@ -49,7 +66,8 @@
 	clock    func() time.Duration
 	trace    *traceRecorder // nil when traffic is not recorded
 	mu       sync.Mutex
-	pending  map[string][]event // by service; AgeUS holds the time of the event
+	pending  map[string]*evidence // by service
+	round    uint64               // reports so far
 	count    int
 }
 
@@ -58,12 +76,21 @@
 	o       *observer
 	service string
 	id      uint64
+	round   uint64 // report that the start belongs to
+	index   int    // of the start in its evidence; -1 when it was dropped
 }
 
 // Start implements proxy.Observer.
 func (o *observer) Start(route *routing.Route, ep *fleet.Endpoint) proxy.Observation {
 	ob := &observation{o: o, service: route.Service.Name, id: o.lastID.Add(1)}
-	o.add(ob.service, event{Kind: eventStart, ID: ob.id, Target: ep.ID, Class: route.Class, Idempotent: route.Idempotent})
+	if o.trace != nil {
+		o.trace.start(ob.service, health.Started{ID: ob.id, Target: ep.ID, Class: route.Class, Idempotent: route.Idempotent})
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := o.of(ob.service)
+	e := event{Kind: eventStart, ID: ob.id, Target: v.target(ep.ID), Class: route.Class, Idempotent: route.Idempotent}
+	ob.round, ob.index = o.round, o.add(v, e)
 	return ob
 }
 
@@ -71,7 +98,21 @@
 func (ob *observation) End(outcome proxy.Outcome, took time.Duration) {
 	e := event{Kind: eventEnd, ID: ob.id, LatencyUS: took.Microseconds()}
 	e.Outcome, e.Neutral = healthOutcome(outcome)
-	ob.o.add(ob.service, e)
+	o := ob.o
+	if o.trace != nil && !e.Neutral {
+		o.trace.end(ob.service, health.Ended{ID: ob.id, Outcome: e.Outcome, Latency: took})
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := o.of(ob.service)
+	if ob.round != o.round || ob.index < 0 {
+		o.add(v, e)
+		return
+	}
+	start := &v.events[ob.index]
+	start.Kind, start.ID = eventDone, 0
+	start.Outcome, start.Neutral, start.LatencyUS = e.Outcome, e.Neutral, e.LatencyUS
+	v.times[ob.index] = o.clock()
 }
 
 func healthOutcome(o proxy.Outcome) (outcome health.Outcome, neutral bool) {
@@ -101,34 +142,41 @@
 	}
 }
 
-func (o *observer) add(service string, e event) {
-	if o.trace != nil {
-		o.trace.note(service, &e)
+func (o *observer) of(service string) *evidence {
+	if o.pending == nil {
+		o.pending = map[string]*evidence{}
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	v := o.pending[service]
+	if v == nil {
+		v = &evidence{}
+		o.pending[service] = v
+	}
+	return v
+}
+
+// add returns the index of the event, or -1 when there is no room.
+func (o *observer) add(v *evidence, e event) int {
 	if o.count >= maxEvidence {
 		o.dropped.Add(1)
-		return
-	}
-	if o.pending == nil {
-		o.pending = map[string][]event{}
+		return -1
 	}
-	e.AgeUS = o.clock().Microseconds()
-	o.pending[service] = append(o.pending[service], e)
 	o.count++
+	v.events = append(v.events, e)
+	v.times = append(v.times, o.clock())
+	return len(v.events) - 1
 }
 
-// take returns the events since the last call.
-func (o *observer) take() map[string][]event {
+// take returns what was observed since the last call.
+func (o *observer) take() map[string]*evidence {
 	o.mu.Lock()
 	out := o.pending
 	o.pending, o.count = nil, 0
-	now := o.clock().Microseconds()
+	o.round++
+	now := o.clock()
 	o.mu.Unlock()
-	for _, events := range out {
-		for i := range events {
-			events[i].AgeUS = now - events[i].AgeUS
+	for _, v := range out {
+		for i := range v.events {
+			v.events[i].AgeMS = (now - v.times[i]).Milliseconds()
 		}
 	}
 	return out
--- a/node/trace.go
+++ b/node/trace.go
@@ -23,8 +23,16 @@
 	failed  bool
 }
 
-// note records an event of the observer.
-func (t *traceRecorder) note(service string, e *event) {
+func (t *traceRecorder) start(service string, s health.Started) {
+	s.Node, s.Zone = t.n.self.ID, t.n.self.Zone
+	t.record(service, func(now time.Duration) { t.rec.Start(now, s) })
+}
+
+func (t *traceRecorder) end(service string, e health.Ended) {
+	t.record(service, func(now time.Duration) { t.rec.End(now, e) })
+}
+
+func (t *traceRecorder) record(service string, write func(now time.Duration)) {
 	if service != t.service {
 		return
 	}
@@ -33,13 +41,7 @@
 	if t.rec == nil && !t.open() {
 		return
 	}
-	now := t.n.clock() - t.began
-	switch {
-	case e.Kind == eventStart:
-		t.rec.Start(now, health.Started{ID: e.ID, Node: t.n.self.ID, Zone: t.n.self.Zone, Target: e.Target, Class: e.Class, Idempotent: e.Idempotent})
-	case !e.Neutral:
-		t.rec.End(now, health.Ended{ID: e.ID, Outcome: e.Outcome, Latency: time.Duration(e.LatencyUS) * time.Microsecond})
-	}
+	write(t.n.clock() - t.began)
 }
 
 // open creates the file; false means that recording is not possible now.
