--- a/cmd/hyssopbridge/fixture_test.go
+++ b/cmd/hyssopbridge/fixture_test.go
@@ -86,6 +86,18 @@
 	return f
 }
 
+// newOrderFixture starts nodes with a target beside each and waits until every
+// node answers orders.
+func newOrderFixture(t *testing.T, nodes int) (*fixture, *orderTargets) {
+	f := newFixture(t, nodes)
+	targets := f.startOrderTargets()
+	f.publish(document)
+	for _, p := range f.nodes {
+		f.waitOrders(p, "ready-"+p.listen)
+	}
+	return f, targets
+}
+
 // address returns an unused address of node i.
 func (f *fixture) address(i int) string {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", f.network, 10+i))
--- a/cmd/hyssopbridge/orders_test.go
+++ b/cmd/hyssopbridge/orders_test.go
@@ -86,10 +86,7 @@
 // once, and against a resend that is not answered.
 func TestOrdersThroughAllNodes(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 3)
-	targets := f.startOrderTargets()
-	f.publish(document)
-	f.waitOrders(f.nodes[0], "ready")
+	f, targets := newOrderFixture(t, 3)
 	for _, key := range []func() string{newKey, newOpaqueKey} {
 		orders := f.sendOrders("o"+key()[:3], orderCount, key, f.nodes)
 		f.resend(orders, f.nodes)
@@ -105,12 +102,7 @@
 // new orders afterwards.
 func TestOrdersAfterKill(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 4)
-	targets := f.startOrderTargets()
-	f.publish(document)
-	for _, p := range f.nodes {
-		f.waitOrders(p, "ready-"+p.listen)
-	}
+	f, targets := newOrderFixture(t, 4)
 	orders := f.sendOrders("uuid", orderCount, newKey, f.nodes)
 	orders = append(orders, f.sendOrders("opaque", orderCount, newOpaqueKey, f.nodes)...)
 	f.nodes[3].kill()
@@ -132,12 +124,7 @@
 // or answers for orders that another node has taken over.
 func TestOrdersAroundFreeze(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 4)
-	targets := f.startOrderTargets()
-	f.publish(document)
-	for _, p := range f.nodes {
-		f.waitOrders(p, "ready-"+p.listen)
-	}
+	f, targets := newOrderFixture(t, 4)
 	frozen, rest := f.nodes[3], f.nodes[:3]
 	var orders []*sent
 	var mu sync.Mutex
@@ -169,12 +156,7 @@
 // that a resend is refused or runs again.
 func TestOrdersAfterPlannedStop(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 4)
-	targets := f.startOrderTargets()
-	f.publish(document)
-	for _, p := range f.nodes {
-		f.waitOrders(p, "ready-"+p.listen)
-	}
+	f, targets := newOrderFixture(t, 4)
 	orders := f.sendOrders("o", orderCount, newKey, f.nodes)
 	if n := countStatus(orders, http.StatusOK); n != orderCount {
 		t.Fatalf("%d of %d orders answered", n, orderCount)
--- a/cmd/hyssopbridge/outage_test.go
+++ b/cmd/hyssopbridge/outage_test.go
@@ -17,12 +17,7 @@
 // node from serving, or that a publisher mistakes for success.
 func TestLogOutage(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 3)
-	targets := f.startOrderTargets()
-	f.publish(document)
-	for _, p := range f.nodes {
-		f.waitOrders(p, "ready-"+p.listen)
-	}
+	f, targets := newOrderFixture(t, 3)
 	f.log.SetDown(true)
 	_, err := f.publisher().Publish(context.Background(), "test.json", []byte(document), control.HeadBase)
 	var down *control.UnavailableError
--- a/node/detect.go
+++ b/node/detect.go
@@ -70,18 +70,11 @@
 
 // runReports sends observations until ctx ends.
 func (d *detector) runReports(ctx context.Context) {
-	tick := time.NewTicker(reportInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			for service, v := range d.n.observer.take() {
-				d.route(ctx, service, v)
-			}
+	every(ctx, reportInterval, func() {
+		for service, v := range d.n.observer.take() {
+			d.route(ctx, service, v)
 		}
-	}
+	})
 }
 
 func (d *detector) route(ctx context.Context, service string, v *evidence) {
@@ -221,18 +214,11 @@
 
 // run ticks the cores until ctx ends.
 func (d *detector) run(ctx context.Context) {
-	tick := time.NewTicker(healthTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			for _, list := range d.step() {
-				d.n.lists.put(list)
-			}
+	every(ctx, healthTick, func() {
+		for _, list := range d.step() {
+			d.n.lists.put(list)
 		}
-	}
+	})
 }
 
 // step returns the lists that changed.
--- a/node/lists.go
+++ b/node/lists.go
@@ -129,16 +129,7 @@
 
 // run compares lists with peers until ctx ends.
 func (l *lists) run(ctx context.Context) {
-	tick := time.NewTicker(listRepair)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			l.forward(&listMessage{Have: l.numbers()}, 1)
-		}
-	}
+	every(ctx, listRepair, func() { l.forward(&listMessage{Have: l.numbers()}, 1) })
 }
 
 func (l *lists) numbers() []listNumber {
--- a/node/orders.go
+++ b/node/orders.go
@@ -75,16 +75,7 @@
 
 // run drives the leases until ctx ends.
 func (o *orders) run(ctx context.Context) {
-	tick := time.NewTicker(leaseTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			o.step(ctx)
-		}
-	}
+	every(ctx, leaseTick, func() { o.step(ctx) })
 }
 
 func (o *orders) step(ctx context.Context) {
@@ -328,16 +319,6 @@
 	return o.admitted.Settle(o.n.clock(), wallMS(), attempt)
 }
 
-// sleep waits for d; false means that ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // peekLease is lease without marking the service as in use.
 func (o *orders) peekLease(service string) (proxy.Lease, bool) {
 	o.mu.Lock()
