--- a/ctl/codes.go
+++ b/ctl/codes.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 
@@ -14,14 +13,10 @@
 }
 
 func runCodes(args []string, stdout, stderr io.Writer) int {
-	fs := flag.NewFlagSet("codes", flag.ContinueOnError)
-	fs.SetOutput(stderr)
+	fs := flagsFor("codes", "[-json]", stdout, resultcode.CommandOK, resultcode.BadUsage)
 	asJSON := fs.Bool("json", false, "print JSON")
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return exitOK
-		}
-		return exitUsage
+	if exit := parseExact(fs, args, 0, stderr); exit >= 0 {
+		return exit
 	}
 	if *asJSON {
 		return printJSON(stdout, stderr, resultcode.All())
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -66,8 +66,11 @@
 	}
 }
 
-// parseExact parses the flags and wants an exact number of arguments. The exit
-// code is negative if the command goes on.
+// atLeastOne as the number of arguments wants one or more.
+const atLeastOne = -1
+
+// parseExact parses the flags and wants an exact number of arguments, or
+// atLeastOne. The exit code is negative if the command goes on.
 func parseExact(fs *flag.FlagSet, args []string, want int, stderr io.Writer) int {
 	var problems strings.Builder
 	usage := fs.Usage
@@ -83,7 +86,10 @@
 	case err != nil:
 		fmt.Fprintf(stderr, "hyssopctl %s: %v\n", fs.Name(), err)
 		return exitUsage
-	case fs.NArg() != want:
+	case want == atLeastOne && fs.NArg() == 0:
+		fmt.Fprintf(stderr, "hyssopctl %s: no arguments, want at least one; -h shows the usage\n", fs.Name())
+		return exitUsage
+	case want != atLeastOne && fs.NArg() != want:
 		fmt.Fprintf(stderr, "hyssopctl %s: %d arguments, want %d; -h shows the usage\n", fs.Name(), fs.NArg(), want)
 		return exitUsage
 	}
--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -1,12 +1,12 @@
 package ctl
 
 import (
-	"flag"
 	"fmt"
 	"io"
 
 	"hyssopbridge/config/manifest"
 	"hyssopbridge/replay"
+	"hyssopbridge/resultcode"
 )
 
 func init() {
@@ -14,29 +14,17 @@
 }
 
 func runReplay(args []string, stdout, stderr io.Writer) int {
-	fs := flag.NewFlagSet("replay", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	fs.Usage = func() {
-		fmt.Fprintln(stderr, "usage: hyssopctl replay [-json] [-prefer detection|service] FILE...")
-		fs.PrintDefaults()
-	}
+	fs := flagsFor("replay", "[-json] [-prefer detection|service] FILE...", stdout, resultcode.CommandOK, resultcode.BadUsage)
 	asJSON := fs.Bool("json", false, "print one JSON object a file")
 	prefer := fs.String("prefer", string(manifest.PreferService), "preference of the service: detection or service")
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return exitOK
-		}
-		return exitUsage
+	if exit := parseExact(fs, args, atLeastOne, stderr); exit >= 0 {
+		return exit
 	}
 	p := manifest.Preference(*prefer)
 	if p != manifest.PreferDetection && p != manifest.PreferService {
 		fmt.Fprintf(stderr, "hyssopctl: unknown preference %q, want detection or service\n", *prefer)
 		return exitUsage
 	}
-	if fs.NArg() == 0 {
-		fs.Usage()
-		return exitUsage
-	}
 	return replayFiles(fs.Args(), p, *asJSON, stdout, stderr)
 }
 
