Release a request body when the final answer has begun

Cause: the host node's server sends 100-continue only before its own answer has begun. When a target answered first, the entry node waited for ever to send the body, the target for the body, and both gave up after the stall limit. The abort then waited for the caller's body, so the caller hung. Seen twice on a busy machine as a test that did not end. Ruled out: the idle limit of the caller's body and the sharing of header fields. Change: reading the answer releases the body; an abort sets a read deadline first. The hang itself is not reproduced by a test of its own; two attempts at one passed without the fix and were dropped.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -116,10 +116,18 @@
 	}
 	c.record(err)
 	if aborted.err != nil {
-		panic(http.ErrAbortHandler)
+		abort(c.w)
 	}
 }
 
+// abort closes the connection of an answer that broke off. Without the read
+// deadline net/http would first wait for the rest of the request body, and a
+// caller that waits for the answer would never learn that it ended.
+func abort(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	panic(http.ErrAbortHandler)
+}
+
 // dropBodyTime is how long a refused request may still send its body.
 const dropBodyTime = 200 * time.Millisecond
 
--- a/proxy/host.go
+++ b/proxy/host.go
@@ -127,7 +127,7 @@
 	}
 	var aborted abortError
 	if errors.As(err, &aborted) {
-		panic(http.ErrAbortHandler)
+		abort(w)
 	}
 	writeError(w, p.id, err)
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -329,7 +329,7 @@
 		fmt.Fprintf(pw, "line %d\n", i)
 		got, err := lines.ReadString('\n')
 		if want := fmt.Sprintf("echo line %d\n", i); got != want || err != nil {
-			t.Fatalf("got %q, %v, want %q", got, err, want)
+			t.Fatalf("got %q, %v, want %q; result %+v", got, err, want, <-f.results)
 		}
 	}
 	pw.Close()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -190,7 +190,13 @@
 }
 
 // Read implements io.Reader. A body that ends early gives io.ErrUnexpectedEOF.
+// Reading the answer also releases a request body that waits for 100-continue:
+// a server that has begun a final answer no longer sends it, and the rest of
+// the answer may depend on the request body.
 func (b *body) Read(p []byte) (int, error) {
+	if b.x.gate != nil {
+		b.x.gate.open()
+	}
 	n, err := b.rc.Read(p)
 	if err != nil {
 		b.x.finish(err == io.EOF && b.keep)
