--- a/node/node.go
+++ b/node/node.go
@@ -119,7 +119,7 @@
 func (n *Node) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	if err := n.start1(ctx); err != nil {
+	if err := n.startParts(ctx); err != nil {
 		cancel()
 		n.listeners.closeAll()
 		return err
@@ -131,7 +131,9 @@
 	return nil
 }
 
-func (n *Node) start1(ctx context.Context) error {
+// startParts opens the ports and starts every part in the order in which they
+// need one another.
+func (n *Node) startParts(ctx context.Context) error {
 	if err := n.openListeners(); err != nil {
 		return err
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -144,6 +144,7 @@
 	c.w.Header().Set("Connection", "close")
 }
 
+// abortCode returns the result code of an answer that broke off.
 func abortCode(err error) resultcode.Code {
 	var failed writeFailed
 	switch {
