Test lost host nodes with and without proof

Cause: altered code that calls every lost answer "not run" passed all tests of the request path. Change: a host node that takes a request and closes the connection; the caller is told unknown without proof, and with proof the order goes to another target. Before and after: the altered code passed, it fails now.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -89,6 +89,68 @@
 	}
 }
 
+// loseHost replaces the host node of s-0 by one that takes a request and closes
+// the connection without an answer.
+func (f *fixture) loseHost(others ...string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			conn.Close()
+		}
+	}()
+	set := f.balancer.Set("s")
+	lost, _ := set.Endpoint("s-0")
+	lost.Node.PeerAddr = l.Addr().String()
+	endpoints := []fleet.Endpoint{lost}
+	for _, id := range others {
+		e, _ := set.Endpoint(id)
+		endpoints = append(endpoints, e)
+	}
+	f.balancer.Update(f.clock(), "s", 1, endpoints, nil)
+}
+
+// Guards against the claim "not run" when the host node is lost and cannot
+// prove that it never sent the request to its target.
+func TestLostHostNodeIsUnknown(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {})
+	f.loseHost()
+	f.admitted.closed = true
+	resp, _, err := f.do(http.MethodPost, "/order/1", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ran := resp.Header.Get(HeaderRan); ran != "unknown" {
+		t.Errorf("Hb-Ran %q, want unknown", ran)
+	}
+}
+
+// Guards against an order that is given up although its host node proves that
+// it never sent it, so that it may go to another target.
+func TestSettledOrderGoesElsewhere(t *testing.T) {
+	var runs atomic.Int64
+	target := func(w http.ResponseWriter, r *http.Request) { runs.Add(1) }
+	f := newFixture(t, target, target)
+	f.loseHost("s-1")
+	for range 10 {
+		resp, _, err := f.do(http.MethodPost, "/order/1", strings.NewReader("x"))
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("answer %v, error %v", resp, err)
+		}
+	}
+	if n := runs.Load(); n != 10 {
+		t.Errorf("10 orders ran %d times", n)
+	}
+}
+
 // Guards against a resend by the HTTP library itself when the target closes a
 // connection that was kept alive, in particular with an Idempotency-Key.
 func TestReusedConnectionDoesNotRepeat(t *testing.T) {
