--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -468,13 +468,15 @@
 		t.Run(name, func(t *testing.T) {
 			begun, ended := make(chan struct{}), make(chan struct{})
 			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				// A server notices a closed connection only once the body is read.
+				_, _ = io.Copy(io.Discard, r.Body)
 				close(begun)
 				<-r.Context().Done()
 				close(ended)
 			})
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.entry.URL+"/order/1", nil)
+			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.entry.URL+"/order/1", strings.NewReader("two rollers"))
 			if name == "deadline" {
 				req.Header.Set(TimeoutHeader, "100")
 			}
