Fix the settings of property tests in one place

Change: internal/propertytest.Main; seeds, check counts and steps are the same. Conclusion: behaviour unchanged.

--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -1,33 +1,20 @@
 package once
 
 import (
-	"flag"
-	"os"
 	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"hyssopbridge/fleet"
+	"hyssopbridge/internal/propertytest"
 	"hyssopbridge/resultcode"
 )
 
 // TestMain fixes the seed and the size of property tests unless they are given
 // on the command line.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "800", "rapid.steps": "80", "rapid.nofailfile": "true",
-	} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	propertytest.Main(m, "20261204", map[string]string{"rapid.checks": "800", "rapid.steps": "80"})
 }
 
 // actions returns the random events of the simulation.
