--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,350 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Phase is what the host node knows of its target.
+type Phase uint8
+
+// Phases of a target.
+const (
+	Absent  Phase = iota // no announcement yet, or the target ended
+	Serving              // takes work
+	Leaving              // announced that it leaves; takes no new work
+)
+
+// Target is the announced state of the target beside this node.
+type Target struct {
+	ID      string
+	Service string
+	Slots   int // requests that it processes at once
+	Phase   Phase
+	ColdFor time.Duration // time for which it remains slow after its start
+}
+
+// Reason tells why a request was refused.
+type Reason uint8
+
+// Reasons of refusal. Each proves that the request was not run.
+const (
+	None       Reason = iota
+	NoTarget          // no such target beside this node
+	IsLeaving         // the target takes no new work
+	IsStopping        // this node takes no new work
+	IsGray            // the target fails, and no trial is due
+	IsUnproven        // the target has no recent success
+	IsBusy            // no slot within the time that the request may wait
+	CallerLeft        // the caller left while waiting
+	Expired           // the reservation was not used in time
+)
+
+var reasonNames = [...]string{"none", "no_target", "leaving", "stopping", "gray", "unproven", "busy", "caller_left", "expired"}
+
+// String returns the name used in logs and between nodes.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// ParseReason returns the reason with the given name.
+func ParseReason(s string) (Reason, bool) {
+	for i, name := range reasonNames {
+		if name == s {
+			return Reason(i), true
+		}
+	}
+	return None, false
+}
+
+// Request is what an entry node asks a slot for.
+type Request struct {
+	Target     string        // ID of the target; empty for any
+	Service    string        // service that the target must belong to
+	Zone       string        // availability zone of the entry node
+	Priority   int           // 0 is the most urgent
+	Idempotent bool          // may run more than once, so it may serve as a trial
+	Unproven   bool          // accept a target without a recent success
+	Forced     bool          // accept a gray target
+	MaxWait    time.Duration // longest wait for a slot; 0 refuses at once
+}
+
+// Status is what a host node tells others about its target.
+type Status struct {
+	Target    string
+	Service   string
+	Phase     Phase
+	Stopping  bool
+	Gray      bool
+	Cold      bool
+	Slots     int
+	Running   int
+	Waiting   int
+	ProofLeft time.Duration
+	TrialIn   time.Duration // meaningful while Gray
+}
+
+// reservationTTL is how long a slot is held for a reservation that is not used.
+// It exceeds a round trip between zones plus a pause of a throttled process,
+// which is up to 100 ms on each side.
+const reservationTTL = 400 * time.Millisecond
+
+// maxQueue bounds the requests that wait for a slot, as a multiple of slots.
+const maxQueue = 4
+
+// Gate admits requests to the target beside this node. Its methods are safe for
+// concurrent use.
+type Gate struct {
+	now      func() time.Duration
+	judgeCfg JudgeConfig
+	onChange func() // called without the lock when the status changed in a way that callers should learn at once
+
+	mu        sync.Mutex
+	target    Target
+	coldUntil time.Duration
+	stopping  bool
+	judge     *Judge
+	running   int
+	waiters   []*waiter // by priority, then arrival
+	hold      time.Duration
+}
+
+type waiter struct {
+	req  Request
+	done chan Reason // None grants the slot; capacity 1
+}
+
+// NewGate returns a Gate without a target. now is a monotonic clock; onChange
+// may be nil.
+func NewGate(now func() time.Duration, cfg JudgeConfig, onChange func()) *Gate {
+	if onChange == nil {
+		onChange = func() {}
+	}
+	return &Gate{now: now, judgeCfg: cfg, onChange: onChange, judge: NewJudge(cfg), hold: initialHold}
+}
+
+// initialHold is the assumed time that a request holds its slot before the
+// first one has ended.
+const initialHold = 300 * time.Millisecond
+
+// SetTarget replaces what is known of the target. A new ID starts without evidence.
+func (g *Gate) SetTarget(t Target) {
+	g.mu.Lock()
+	if t.ID != g.target.ID {
+		g.judge = NewJudge(g.judgeCfg)
+	}
+	changed := t.ID != g.target.ID || t.Phase != g.target.Phase || t.Service != g.target.Service
+	g.target = t
+	g.coldUntil = g.now() + t.ColdFor
+	if t.Phase != Serving {
+		g.refuseAll(g.phaseReason())
+	}
+	g.dispatch()
+	g.mu.Unlock()
+	if changed {
+		g.onChange()
+	}
+}
+
+// Restart forgets the evidence about the target, which began anew under its ID.
+func (g *Gate) Restart() {
+	g.mu.Lock()
+	g.judge = NewJudge(g.judgeCfg)
+	g.mu.Unlock()
+}
+
+// Stop refuses all new work of this node's target.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	g.stopping = true
+	g.refuseAll(IsStopping)
+	g.mu.Unlock()
+	g.onChange()
+}
+
+func (g *Gate) phaseReason() Reason {
+	switch {
+	case g.stopping:
+		return IsStopping
+	case g.target.Phase == Leaving:
+		return IsLeaving
+	case g.target.Phase == Absent:
+		return NoTarget
+	}
+	return None
+}
+
+// Reserve takes a slot for the request. On a refusal the reason proves that the
+// request was not run.
+func (g *Gate) Reserve(ctx context.Context, req Request) (*Ticket, Reason) {
+	g.mu.Lock()
+	if why := g.check(req); why != None {
+		g.mu.Unlock()
+		return nil, why
+	}
+	if g.running < g.target.Slots {
+		t := g.grant(req)
+		g.mu.Unlock()
+		return t, None
+	}
+	w := g.enqueue(req)
+	g.mu.Unlock()
+	if w == nil {
+		return nil, IsBusy
+	}
+	return g.wait(ctx, w)
+}
+
+// check applies all conditions but the free slot.
+func (g *Gate) check(req Request) Reason {
+	if why := g.phaseReason(); why != None {
+		return why
+	}
+	if req.Service != g.target.Service || (req.Target != "" && req.Target != g.target.ID) {
+		return NoTarget
+	}
+	if req.Forced {
+		return None
+	}
+	now := g.now()
+	if g.judge.Gray() {
+		if req.Idempotent && g.judge.TrialIn(now) == 0 && g.running < g.target.Slots {
+			return None
+		}
+		return IsGray
+	}
+	if req.Idempotent {
+		return None
+	}
+	if g.judge.Doubted(req.Zone, now) {
+		return IsGray
+	}
+	if !req.Unproven && !g.judge.Proven(now) {
+		return IsUnproven
+	}
+	return None
+}
+
+func (g *Gate) grant(req Request) *Ticket {
+	g.running++
+	t := &Ticket{gate: g, judge: g.judge, zone: req.Zone, start: g.now()}
+	if g.judge.Gray() && !req.Forced {
+		t.trial = true
+		g.judge.BeginTrial(t.start)
+	}
+	t.expiry = time.AfterFunc(reservationTTL, t.expire)
+	return t
+}
+
+// enqueue returns nil if the wait would exceed what the request accepts.
+func (g *Gate) enqueue(req Request) *waiter {
+	if req.MaxWait <= 0 || g.target.Slots <= 0 || len(g.waiters) >= maxQueue*g.target.Slots {
+		return nil
+	}
+	at := len(g.waiters)
+	for at > 0 && g.waiters[at-1].req.Priority > req.Priority {
+		at--
+	}
+	if estimate := g.hold * time.Duration(at+1) / time.Duration(g.target.Slots); estimate > req.MaxWait {
+		return nil
+	}
+	w := &waiter{req: req, done: make(chan Reason, 1)}
+	g.waiters = append(g.waiters, nil)
+	copy(g.waiters[at+1:], g.waiters[at:])
+	g.waiters[at] = w
+	return w
+}
+
+func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, Reason) {
+	timer := time.NewTimer(w.req.MaxWait)
+	defer timer.Stop()
+	why := CallerLeft
+	select {
+	case why = <-w.done:
+		return g.awarded(w, why)
+	case <-timer.C:
+		why = IsBusy
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	if g.remove(w) {
+		g.mu.Unlock()
+		return nil, why
+	}
+	g.mu.Unlock()
+	// The slot was awarded or refused meanwhile.
+	t, got := g.awarded(w, <-w.done)
+	if t != nil && why == CallerLeft {
+		t.Release(Neutral)
+		return nil, why
+	}
+	return t, got
+}
+
+func (g *Gate) awarded(w *waiter, why Reason) (*Ticket, Reason) {
+	if why != None {
+		return nil, why
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// dispatch counted the slot already; grant counts it again.
+	g.running--
+	return g.grant(w.req), None
+}
+
+func (g *Gate) remove(w *waiter) bool {
+	for i, x := range g.waiters {
+		if x == w {
+			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// dispatch hands free slots to waiters that may still run.
+func (g *Gate) dispatch() {
+	for g.running < g.target.Slots && len(g.waiters) > 0 {
+		w := g.waiters[0]
+		g.waiters = g.waiters[1:]
+		why := g.check(w.req)
+		if why == None {
+			g.running++
+		}
+		w.done <- why
+	}
+}
+
+func (g *Gate) refuseAll(why Reason) {
+	for _, w := range g.waiters {
+		w.done <- why
+	}
+	g.waiters = nil
+}
+
+// Status returns the current status.
+func (g *Gate) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return Status{
+		Target: g.target.ID, Service: g.target.Service, Phase: g.target.Phase, Stopping: g.stopping,
+		Gray: g.judge.Gray(), Cold: now < g.coldUntil, Slots: g.target.Slots,
+		Running: g.running, Waiting: len(g.waiters),
+		ProofLeft: g.judge.ProofLeft(now), TrialIn: g.judge.TrialIn(now),
+	}
+}
+
+var phaseNames = [...]string{"absent", "serving", "leaving"}
+
+// String returns the name used in logs.
+func (p Phase) String() string {
+	if int(p) < len(phaseNames) {
+		return phaseNames[p]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/admission/judge.go
@@ -0,0 +1,153 @@
+package admission
+
+import "time"
+
+// Evidence is what one finished request says about its target.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	Neutral     Evidence = iota // says nothing: cancelled by the caller, or shed by the target
+	Good                        // complete, matching answer
+	ErrorAnswer                 // the target answered with a server error
+	Broken                      // reset, cut off or unreadable answer, or no connection
+	Silent                      // no answer in the time that the request had
+)
+
+// JudgeConfig holds the constants of a Judge.
+type JudgeConfig struct {
+	TrialInterval  time.Duration // between two trials of a gray target
+	TrialTimeout   time.Duration // after which an open trial no longer holds up the next
+	AfterBroken    int           // successes that end a gray phase which began with a broken answer
+	AfterError     int           // successes that end one which began with an error answer
+	ProofAge       time.Duration // how long a success counts as proof for work that must not repeat
+	ZoneDoubt      time.Duration // how long a failure for one caller zone holds after the target returned
+	FirstTrialWait time.Duration // from an error answer to the first trial
+}
+
+// DefaultJudge returns the constants for targets that answer within about half
+// a second.
+func DefaultJudge() JudgeConfig {
+	return JudgeConfig{
+		TrialInterval:  250 * time.Millisecond,
+		TrialTimeout:   time.Second,
+		AfterBroken:    2,
+		AfterError:     1,
+		ProofAge:       400 * time.Millisecond,
+		ZoneDoubt:      3 * time.Second,
+		FirstTrialWait: 30 * time.Millisecond,
+	}
+}
+
+// Judge decides from the outcomes of requests whether a target is gray. It is
+// not safe for concurrent use.
+type Judge struct {
+	cfg       JudgeConfig
+	need      int           // successes still needed; 0 while the target is good
+	lastFail  time.Duration // end of the newest failure
+	provenAt  time.Duration // end of the newest success
+	proven    bool
+	nextTrial time.Duration
+	trials    int // open trials
+	openedAt  time.Duration
+	zones     map[string]time.Duration // caller zone -> end of its newest failure, until a success
+}
+
+// NewJudge returns a Judge of a target without evidence.
+func NewJudge(cfg JudgeConfig) *Judge {
+	return &Judge{cfg: cfg, zones: map[string]time.Duration{}}
+}
+
+// Gray reports whether the target takes no work but trials.
+func (j *Judge) Gray() bool { return j.need > 0 }
+
+// Doubted reports whether requests from the zone failed and none has succeeded
+// since, although requests from other zones do.
+func (j *Judge) Doubted(zone string, now time.Duration) bool {
+	at, ok := j.zones[zone]
+	return ok && now-at < j.cfg.ZoneDoubt
+}
+
+// Proven reports whether the target answered well within the proof age.
+func (j *Judge) Proven(now time.Duration) bool {
+	return j.proven && now-j.provenAt <= j.cfg.ProofAge
+}
+
+// ProofLeft returns how long the newest proof still holds.
+func (j *Judge) ProofLeft(now time.Duration) time.Duration {
+	if !j.proven {
+		return 0
+	}
+	return max(0, j.provenAt+j.cfg.ProofAge-now)
+}
+
+// TrialIn returns the time until the next trial may start.
+func (j *Judge) TrialIn(now time.Duration) time.Duration {
+	if j.trials > 0 {
+		return max(0, j.openedAt+j.cfg.TrialTimeout-now)
+	}
+	return max(0, j.nextTrial-now)
+}
+
+// BeginTrial records the start of a trial.
+func (j *Judge) BeginTrial(now time.Duration) {
+	j.trials++
+	j.openedAt = now
+	j.nextTrial = now + j.cfg.TrialInterval
+}
+
+// EndTrial records the end of a trial, before its evidence.
+func (j *Judge) EndTrial() {
+	if j.trials > 0 {
+		j.trials--
+	}
+}
+
+// Observe records the evidence of a request from the zone that started at
+// start and ended now. It reports whether the target turned gray or returned.
+func (j *Judge) Observe(e Evidence, zone string, start, now time.Duration) (changed bool) {
+	before := j.Gray()
+	switch e {
+	case Good:
+		j.good(zone, start, now)
+	case ErrorAnswer:
+		j.fail(zone, now, j.cfg.AfterError, j.cfg.FirstTrialWait)
+	case Broken, Silent:
+		j.fail(zone, now, j.cfg.AfterBroken, j.cfg.TrialInterval)
+	}
+	return before != j.Gray()
+}
+
+func (j *Judge) good(zone string, start, now time.Duration) {
+	if j.need > 0 && start < j.lastFail {
+		// The request began before the failure, so its success does not show
+		// that the target has recovered.
+		return
+	}
+	delete(j.zones, zone)
+	j.proven, j.provenAt = true, now
+	if j.need > 0 {
+		j.need--
+		j.nextTrial = now
+	}
+}
+
+func (j *Judge) fail(zone string, now time.Duration, need int, wait time.Duration) {
+	j.proven = false
+	j.lastFail = now
+	j.zones[zone] = now
+	if j.need == 0 {
+		j.nextTrial = now + wait
+	}
+	j.need = max(j.need, need)
+}
+
+var evidenceNames = [...]string{"neutral", "good", "error_answer", "broken", "silent"}
+
+// String returns the name used in logs.
+func (e Evidence) String() string {
+	if int(e) < len(evidenceNames) {
+		return evidenceNames[e]
+	}
+	return "unknown"
+}
--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -18,6 +18,7 @@
 	"hyssopbridge/demo"
 	"hyssopbridge/node"
 	"hyssopbridge/operator"
+	"hyssopbridge/platform"
 )
 
 // Exit codes.
@@ -29,6 +30,8 @@
 
 const usage = `usage:
   hyssopbridge node -settings FILE    run one node
+  hyssopbridge platform [-metrics PORT] [-log LEVEL]
+                                      run one node on the operators' platform
   hyssopbridge demo [-for DURATION]   run an embedded fleet with traffic and faults
 
 exit codes: 0 done, 1 error or broken promise, 2 wrong command line
@@ -44,6 +47,8 @@
 	switch args[0] {
 	case "node":
 		return runNode(args[1:])
+	case "platform":
+		return runPlatform(args[1:])
 	case "demo":
 		return runDemo(args[1:])
 	case "-h", "-help", "--help", "help":
@@ -112,6 +117,33 @@
 	return exitOK
 }
 
+// logBufferBytes bounds the log lines that wait for a slow reader.
+const logBufferBytes = 1 << 20
+
+// runPlatform runs a node with the settings of the operators' platform. Log
+// lines go to standard output and never block a request.
+func runPlatform(args []string) int {
+	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
+	metrics := fs.String("metrics", "", "`PORT` of the metrics page; none if empty")
+	level := fs.String("log", "info", "`LEVEL` of the log: debug, info, warn or error")
+	if code, done := parse(fs, args); done {
+		return code
+	}
+	parsed, err := log.ParseLevel(*level)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "hyssopbridge platform: -log %s: want debug, info, warn or error\n", *level)
+		return exitUsage
+	}
+	out := operator.NewAsyncWriter(os.Stdout, logBufferBytes)
+	defer out.Close()
+	logger := &log.Logger{Handler: operator.NewLogLimit(operator.NewLineHandler(out)), Level: parsed}
+	if err := platform.Run(logger, *metrics); err != nil {
+		logger.WithError(err).Error("start")
+		return exitError
+	}
+	return exitOK
+}
+
 const defaultDemo = 40 * time.Second
 
 func runDemo(args []string) int {
--- /dev/null
+++ b/config/dynamic/splitter.go
@@ -0,0 +1,75 @@
+package dynamic
+
+import "sync"
+
+// Splitter spreads the requests of routes over their services by weight. It
+// uses smooth weighted round robin, so that the shares hold also over few
+// requests.
+type Splitter struct {
+	phase int // shifts the sequence, so that nodes do not send in step
+
+	mu     sync.Mutex
+	routes map[string]*splitState
+}
+
+type splitState struct {
+	shares  []Share
+	current []int
+}
+
+// NewSplitter returns a Splitter. Nodes should use different phases.
+func NewSplitter(phase int) *Splitter {
+	return &Splitter{phase: phase, routes: map[string]*splitState{}}
+}
+
+// Pick returns the service of the next request of r.
+func (s *Splitter) Pick(r *Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.routes[r.Name]
+	if st == nil || !equalShares(st.shares, r.Shares) {
+		st = newSplitState(r.Shares, s.phase)
+		s.routes[r.Name] = st
+	}
+	return st.next()
+}
+
+func newSplitState(shares []Share, phase int) *splitState {
+	st := &splitState{shares: shares, current: make([]int, len(shares))}
+	total := 0
+	for _, sh := range shares {
+		total += sh.Weight
+	}
+	for range phase % max(1, total) {
+		st.next()
+	}
+	return st
+}
+
+func (st *splitState) next() string {
+	best, total := 0, 0
+	for i, sh := range st.shares {
+		st.current[i] += sh.Weight
+		total += sh.Weight
+		if st.current[i] > st.current[best] {
+			best = i
+		}
+	}
+	st.current[best] -= total
+	return st.shares[best].Service
+}
+
+func equalShares(a, b []Share) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/limits/budget.go
+++ b/limits/budget.go
@@ -13,12 +13,14 @@
 	retryBucket  = retryWindow / retryBuckets
 )
 
-// RetryBudget bounds the retries of one service at one entry node to a tenth
-// of its requests over 10 s. The fractional part of the allowance is rounded
+// RetryBudget bounds the retries of one service at one entry node to a share
+// of its requests over 10 s, a tenth unless configured otherwise. The fractional part of the allowance is rounded
 // at random, anew in each window, instead of up: with a guaranteed minimum per
 // node, the fleet's retries would grow with the number of nodes.
 type RetryBudget struct {
 	mu       sync.Mutex
+	share    float64 // retries as a part of requests
+	slack    float64 // retries in the window on top of the share
 	rand     *rand.Rand
 	round    float64 // rounding of the allowance, in [0, 1)
 	current  int64   // number of the newest bucket
@@ -31,7 +33,15 @@
 // NewRetryBudget returns an empty budget. Nodes need different seeds.
 func NewRetryBudget(seed uint64) *RetryBudget {
 	r := rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))
-	return &RetryBudget{rand: r, round: r.Float64()}
+	return &RetryBudget{share: retryShare, rand: r, round: r.Float64()}
+}
+
+// Configure changes the share of requests and the retries that are allowed on
+// top of it in each window.
+func (b *RetryBudget) Configure(share, slack float64) {
+	b.mu.Lock()
+	b.share, b.slack = share, slack
+	b.mu.Unlock()
 }
 
 // Request counts a request of a caller. Retries are not requests.
@@ -48,7 +58,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if float64(b.sumRetry+1) > retryShare*float64(b.sumReq)+b.round {
+	if float64(b.sumRetry+1) > b.share*float64(b.sumReq)+b.slack+b.round {
 		return false
 	}
 	b.retries[b.current%retryBuckets]++
--- /dev/null
+++ b/mesh/budgets.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"hyssopbridge/limits"
+)
+
+// RetryPolicy bounds the retries of all nodes together.
+type RetryPolicy struct {
+	Ratio float64 // retries as a part of the requests for a service
+	Slack float64 // retries on top of it, of all nodes together
+}
+
+// budgetMargin is the part of the fleet's allowance that nodes use. The rest
+// covers requests that are counted in another window than their retries, and
+// the random rounding of each node's allowance.
+const budgetMargin = 0.8
+
+// minFleet is the number of nodes that share the slack at least. A node that
+// knows few others must not take their part.
+const minFleet = 16
+
+// budgets holds a retry budget for each service.
+type budgets struct {
+	now    func() time.Duration
+	policy func() RetryPolicy
+	nodes  func() int // nodes that share the allowance
+	seed   uint64
+
+	mu       sync.Mutex
+	services map[string]*limits.RetryBudget
+}
+
+func newBudgets(now func() time.Duration, policy func() RetryPolicy, nodes func() int, seed uint64) *budgets {
+	return &budgets{now: now, policy: policy, nodes: nodes, seed: seed, services: map[string]*limits.RetryBudget{}}
+}
+
+func (b *budgets) get(service string) *limits.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil {
+		b.seed++
+		s = limits.NewRetryBudget(b.seed)
+		b.services[service] = s
+	}
+	return s
+}
+
+func (b *budgets) request(service string) { b.get(service).Request(b.now()) }
+
+func (b *budgets) allow(service string) bool {
+	p := b.policy()
+	s := b.get(service)
+	share := budgetMargin * p.Slack / float64(max(minFleet, b.nodes()))
+	// Each node's allowance is rounded at random, by half a retry on average.
+	s.Configure(budgetMargin*p.Ratio, max(0, share-0.5))
+	return s.Allow(b.now())
+}
--- /dev/null
+++ b/mesh/metrics.go
@@ -0,0 +1,91 @@
+package mesh
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
+	"hyssopbridge/resultcode"
+)
+
+const (
+	reservoirSize  = 256   // samples that a latency histogram keeps
+	reservoirAlpha = 0.015 // weight of newer samples
+)
+
+// metrics counts what the data path does. Names and units are in docs/METRICS.md.
+type metrics struct {
+	registry gometrics.Registry
+	took     gometrics.Histogram // caller requests, in ms
+	targetMs gometrics.Histogram // exchanges with the target, in ms
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: gometrics.NewRegistry()}
+	m.took = m.histogram("mesh_request_ms")
+	m.targetMs = m.histogram("mesh_target_ms")
+	return m
+}
+
+func (m *metrics) histogram(name string) gometrics.Histogram {
+	return gometrics.GetOrRegisterHistogram(name, m.registry, gometrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+}
+
+func (m *metrics) count(name string) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+func (m *metrics) request(_ *dynamic.Route, err error, took time.Duration) {
+	m.took.Update(took.Milliseconds())
+	code := resultcode.Answered
+	var res *resultcode.Error
+	if errors.As(err, &res) {
+		code = res.Code
+	}
+	m.count(fmt.Sprintf("mesh_requests_total.%d", int(code)))
+}
+
+func (m *metrics) reservation(why admission.Reason) {
+	m.count("mesh_reservations_total." + why.String())
+}
+
+func (m *metrics) target(e admission.Evidence, took time.Duration) {
+	m.targetMs.Update(took.Milliseconds())
+	m.count("mesh_target_answers_total." + e.String())
+}
+
+// WriteTo writes every metric as text, a line each, in the exposition format
+// that common collectors read.
+func (m *metrics) write(w io.Writer) {
+	m.registry.Each(func(name string, v any) {
+		base, label, _ := strings.Cut(name, ".")
+		if label != "" {
+			label = `{kind="` + label + `"}`
+		}
+		switch v := v.(type) {
+		case gometrics.Counter:
+			fmt.Fprintf(w, "%s%s %d\n", base, label, v.Count())
+		case gometrics.Gauge:
+			fmt.Fprintf(w, "%s%s %d\n", base, label, v.Value())
+		case gometrics.Histogram:
+			s := v.Snapshot()
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", base, q, s.Percentile(q))
+			}
+			fmt.Fprintf(w, "%s_count %d\n", base, s.Count())
+		}
+	})
+}
+
+// ServeMetrics writes the node's metrics as text.
+func (n *Node) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	n.metrics.write(w)
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,314 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
+	"hyssopbridge/placement"
+	"hyssopbridge/upstream"
+)
+
+// Config is what a node needs to start. Values that may change while it runs
+// are set by the methods of Node.
+type Config struct {
+	Zone    string
+	Callers string // listener for callers, IP:port
+	Nodes   string // listener for requests between nodes, IP:port
+	Gossip  string // listener for datagrams between nodes, IP:port
+	Headers Headers
+	// Decode turns the source's form of a configuration into a Config.
+	Decode func(raw []byte) (*dynamic.Config, error)
+	Log    log.Interface
+	Seed   uint64
+}
+
+// Node is the data path of one host.
+type Node struct {
+	cfg     Config
+	log     *journal
+	started time.Time
+	metrics *metrics
+	gate    *admission.Gate
+	view    *placement.View
+	peers   *peers
+	host    *host
+	entry   *entry
+	remote  *remote
+	targets *upstream.Client
+	callers *callerServer
+	nodes   *http.Server
+
+	config     atomic.Pointer[configInForce]
+	configMu   sync.Mutex
+	fetching   atomic.Bool
+	targetAddr atomic.Pointer[string]
+	service    atomic.Pointer[string]
+	policy     atomic.Pointer[RetryPolicy]
+	reader     atomic.Bool
+	stopping   atomic.Bool
+	drained    atomic.Bool // no caller is expected any more
+	cancel     context.CancelFunc
+}
+
+type configInForce struct {
+	*dynamic.Config
+	raw []byte
+}
+
+// New returns a node that is not started.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, log: &journal{cfg.Log}, started: time.Now(), metrics: newMetrics()}
+	empty := ""
+	n.targetAddr.Store(&empty)
+	n.service.Store(&empty)
+	n.policy.Store(&RetryPolicy{})
+	n.gate = admission.NewGate(n.now, admission.DefaultJudge(), n.statusChanged)
+	n.view = placement.NewView(placement.DefaultConfig(cfg.Nodes, cfg.Zone), n.now, cfg.Seed)
+	n.peers = &peers{
+		now: n.now, state: n.state, view: n.view, log: n.log, metrics: n.metrics, newer: n.fetchConfig,
+		byGossip: map[netip.AddrPort]*peer{}, notice: make(chan struct{}, 1),
+	}
+	n.buildPath()
+	return n
+}
+
+func (n *Node) buildPath() {
+	n.targets = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
+	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
+	n.host = &host{
+		gate: n.gate, client: n.targets, headers: &n.cfg.Headers, log: n.log, metrics: n.metrics,
+		targetAddr: func() string { return *n.targetAddr.Load() }, tickets: map[string]heldTicket{},
+	}
+	n.remote = &remote{client: between, headers: &n.cfg.Headers, status: n.learned}
+	b := newBudgets(n.now, func() RetryPolicy { return *n.policy.Load() }, n.peers.fleetSize, n.cfg.Seed)
+	p := &placer{
+		self: n.cfg.Nodes, zone: n.cfg.Zone, view: n.view, host: n.host, remote: n.remote,
+		budgets: b, log: n.log, metrics: n.metrics,
+	}
+	n.entry = &entry{
+		placer: p, headers: &n.cfg.Headers, config: n.Config, caller: func() string { return *n.service.Load() },
+		stopping: n.stopping.Load, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		log: n.log, metrics: n.metrics,
+	}
+}
+
+const (
+	maxIdleToTarget = 16  // connections to the target that are kept
+	splitPhases     = 101 // phases by which nodes shift their weighted splits
+)
+
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// Start opens the listeners. The node refuses work until it has a
+// configuration and a target.
+func (n *Node) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err := n.listen(); err != nil {
+		cancel()
+		return err
+	}
+	go n.peers.run(ctx)
+	go n.tidy(ctx)
+	return nil
+}
+
+func (n *Node) listen() error {
+	gossip, err := net.ResolveUDPAddr("udp4", n.cfg.Gossip)
+	if err != nil {
+		return fmt.Errorf("datagram listener: %w", err)
+	}
+	if n.peers.conn, err = net.ListenUDP("udp4", gossip); err != nil {
+		return fmt.Errorf("datagram listener: %w", err)
+	}
+	between, err := net.Listen("tcp4", n.cfg.Nodes)
+	if err != nil {
+		return fmt.Errorf("listener for nodes: %w", err)
+	}
+	callers, err := net.Listen("tcp4", n.cfg.Callers)
+	if err != nil {
+		return fmt.Errorf("listener for callers: %w", err)
+	}
+	n.nodes = &http.Server{Handler: http.HandlerFunc(n.serveNode), IdleTimeout: nodeIdleTimeout, ErrorLog: quietLog()}
+	go serveListener(n.nodes, between)
+	n.callers = newCallerServer(n.entry)
+	go n.callers.serve(callers)
+	return nil
+}
+
+// nodeIdleTimeout exceeds the idle timeout of upstream.Client, so that the
+// client closes first.
+const nodeIdleTimeout = time.Minute
+
+func (n *Node) serveNode(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerConfig) == "" {
+		n.host.ServeHTTP(w, r)
+		return
+	}
+	c := n.config.Load()
+	if c == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(c.raw) // a node that left asks again
+}
+
+// tidy closes idle connections.
+func (n *Node) tidy(ctx context.Context) {
+	tick := time.NewTicker(tidyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.targets.CloseIdle(false)
+			n.remote.client.CloseIdle(false)
+		}
+	}
+}
+
+const tidyInterval = 10 * time.Second
+
+// statusChanged tells other nodes at once that this node's target changed.
+func (n *Node) statusChanged() {
+	s := n.gate.Status()
+	n.log.targetStatus(s)
+	n.view.Update(placement.Host{Addr: n.cfg.Nodes, Zone: n.cfg.Zone}, s)
+	n.peers.changed()
+}
+
+// learned takes the status that a host node sent with an answer.
+func (n *Node) learned(addr string, s admission.Status) { n.view.Refresh(addr, s) }
+
+func (n *Node) state() message {
+	m := message{
+		Flags: bit(n.reader.Load(), flagReader),
+		Addr:  n.cfg.Nodes, Gossip: n.cfg.Gossip, Zone: n.cfg.Zone, Started: n.started.UnixMilli(),
+		Status: encodeStatus(n.gate.Status()),
+	}
+	if c := n.config.Load(); c != nil {
+		m.Version = c.Version
+	}
+	return m
+}
+
+// Config returns the configuration in force, or nil.
+func (n *Node) Config() *dynamic.Config {
+	if c := n.config.Load(); c != nil {
+		return c.Config
+	}
+	return nil
+}
+
+// SetConfig puts a configuration in force unless one at least as new is. The
+// error tells why it was refused.
+func (n *Node) SetConfig(raw []byte, source string) error {
+	c, err := n.cfg.Decode(raw)
+	if err != nil {
+		n.log.configRefused(0, source, err)
+		return err
+	}
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	before := n.config.Load()
+	var was int64
+	if before != nil {
+		was = before.Version
+	}
+	if c.Version <= was {
+		return nil
+	}
+	n.config.Store(&configInForce{c, raw})
+	n.callers.setLimits(c.Limits)
+	n.log.configInForce(c.Version, was, c.Routes(), source)
+	n.peers.changed()
+	return nil
+}
+
+// fetchConfig reads a newer configuration from a node. One read runs at a time.
+func (n *Node) fetchConfig(addr string, version int64) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.fetching.Store(false)
+		n.fetchFrom(append([]string{addr}, n.peers.holders(version)...))
+	}()
+}
+
+// maxFetches bounds the nodes that are asked for one version.
+const maxFetches = 3
+
+func (n *Node) fetchFrom(addrs []string) {
+	for i, addr := range addrs {
+		if i == maxFetches {
+			return
+		}
+		raw, err := n.remote.fetchConfig(context.Background(), addr)
+		if err == nil {
+			err = n.SetConfig(raw, addr)
+		}
+		if err == nil {
+			return
+		}
+		n.log.configRefused(0, addr, err)
+	}
+}
+
+// SetTarget replaces what is known of the target beside this node.
+func (n *Node) SetTarget(t admission.Target, addr string, restarted bool) {
+	n.targetAddr.Store(&addr)
+	if restarted {
+		n.gate.Restart()
+	}
+	n.gate.SetTarget(t)
+}
+
+// SetService names the service of the target on this host, which requests that
+// begin here carry.
+func (n *Node) SetService(name string) { n.service.Store(&name) }
+
+// SetRetryPolicy replaces the bounds on retries.
+func (n *Node) SetRetryPolicy(p RetryPolicy) { n.policy.Store(&p) }
+
+// SetReader states whether this node reads the configuration at its source.
+func (n *Node) SetReader(on bool) { n.reader.Store(on) }
+
+// ShouldRead reports whether this node should read the configuration at its source.
+func (n *Node) ShouldRead() bool { return n.config.Load() == nil || n.peers.isReader() }
+
+// AddPeer makes another node known by its datagram address.
+func (n *Node) AddPeer(gossip netip.AddrPort) { n.peers.add(gossip) }
+
+// Ready reports whether callers may send requests here.
+func (n *Node) Ready() bool { return n.config.Load() != nil && !n.stopping.Load() }
+
+// Gossip returns the address by which other nodes reach this one.
+func (n *Node) Gossip() string { return n.cfg.Gossip }
+
+// Stop ends the node after its requests have ended, or when ctx ends. It serves
+// callers that still come for at least settle, refuses work for its target, and
+// lets what is in flight finish.
+func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
+	n.stopping.Store(true)
+	n.gate.Stop()
+	select {
+	case <-time.After(settle):
+	case <-ctx.Done():
+	}
+	err := errors.Join(n.callers.shutdown(ctx), n.nodes.Shutdown(ctx))
+	n.cancel()
+	return err
+}
--- /dev/null
+++ b/mesh/placer.go
@@ -0,0 +1,264 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
+	"hyssopbridge/placement"
+	"hyssopbridge/resultcode"
+)
+
+const (
+	// asksPerRound bounds the host nodes that a request asks before it looks
+	// at their status anew.
+	asksPerRound = 4
+	// queueWait is the longest wait for a slot at one host node before the
+	// request looks for another.
+	queueWait = 100 * time.Millisecond
+	// roundPause separates rounds in which every host node refused.
+	roundPause = 20 * time.Millisecond
+	// minRunTime is the least time that must be left for a request to be sent.
+	minRunTime = 60 * time.Millisecond
+	// forceAfter is the part of a route's objective after which a request is
+	// sent to a gray target rather than not at all.
+	forceAfter = 0.3
+)
+
+// placer finds a target for each request and repeats what may be repeated.
+type placer struct {
+	self    string
+	zone    string
+	view    *placement.View
+	host    *host
+	remote  *remote
+	budgets *budgets
+	log     *journal
+	metrics *metrics
+}
+
+// call is one request on its way to a target.
+type call struct {
+	p        *placer
+	ctx      context.Context
+	q        *request
+	route    *dynamic.Route
+	service  string
+	start    time.Time
+	tried    []string // hosts whose target ran the request
+	arrivals int      // targets that got the request, whether they ran it or not
+	fallback *answer  // failure of a target that is passed on if no other target does better
+}
+
+// placed is a reserved slot.
+type placed struct {
+	slot
+	addr   string
+	target string
+}
+
+// serve returns the answer of a target. The error is a *resultcode.Error.
+func (p *placer) serve(ctx context.Context, q *request, route *dynamic.Route, service string, start time.Time) (*answer, error) {
+	c := &call{p: p, ctx: ctx, q: q, route: route, service: service, start: start}
+	p.budgets.request(service)
+	var last *resultcode.Error
+	for {
+		s, err := c.place()
+		if err != nil {
+			return c.giveUp(last, err)
+		}
+		if c.arrivals > 0 && !p.budgets.allow(service) {
+			s.cancel()
+			return c.giveUp(last, notRun(resultcode.RetryBudgetSpent, "retry budget of service %s is spent", service))
+		}
+		a, err := c.run(s)
+		if err == nil && !c.wantsAnother(a) {
+			return a, nil
+		}
+		if err == nil {
+			c.keepFallback(a)
+			last = nil
+			continue
+		}
+		last = asResult(err)
+		if !c.mayRepeat(last) {
+			return nil, last
+		}
+	}
+}
+
+// giveUp ends a request for which no further target was found.
+func (c *call) giveUp(last *resultcode.Error, placing error) (*answer, error) {
+	if c.fallback != nil {
+		return c.fallback, nil
+	}
+	if len(c.tried) > 0 && last != nil {
+		return nil, last
+	}
+	return nil, placing
+}
+
+func (c *call) keepFallback(a *answer) {
+	if c.fallback != nil {
+		c.fallback.close()
+	}
+	c.fallback = a
+}
+
+// wantsAnother reports whether a failure that a target answered should be
+// tried at another target.
+func (c *call) wantsAnother(a *answer) bool {
+	return a.status >= http.StatusInternalServerError && c.q.idempotent && c.canSendAgain()
+}
+
+// mayRepeat reports whether a failed request may go to another target.
+func (c *call) mayRepeat(e *resultcode.Error) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	if e.Ran == resultcode.RanNo {
+		return c.q.rest == nil && c.left() > minRunTime
+	}
+	return c.q.idempotent && c.canSendAgain()
+}
+
+func (c *call) canSendAgain() bool {
+	return c.q.rest == nil && len(c.tried) < c.route.Attempts && c.left() > minRunTime
+}
+
+func (c *call) left() time.Duration { return time.Until(c.q.deadline) }
+
+func (c *call) run(s placed) (*answer, error) {
+	c.p.view.Begin(s.addr)
+	a, err := s.run(c.ctx, c.q)
+	c.p.view.End(s.addr)
+	if err == nil {
+		c.arrivals++
+		c.tried = append(c.tried, s.addr)
+		c.p.view.PathWorked(s.addr)
+		return a, nil
+	}
+	res := asResult(err)
+	if res.Ran != resultcode.RanNo {
+		c.arrivals++
+		c.tried = append(c.tried, s.addr)
+	}
+	switch res.Code {
+	case resultcode.ShedByTarget:
+		c.arrivals++
+		c.p.view.Refused(s.addr)
+	case resultcode.NoTarget:
+		c.p.view.Refused(s.addr)
+	case resultcode.PeerUnreachable, resultcode.PeerLost:
+		c.p.view.PathFailed(s.addr)
+	}
+	c.p.log.attemptFailed(c.q.id, s.addr, s.target, res, len(c.tried), c.left())
+	return nil, res
+}
+
+// place reserves a slot. The error proves that no target got the request since
+// the last attempt.
+func (c *call) place() (placed, error) {
+	for round := 0; ; round++ {
+		s, why, ok := c.ask(round)
+		if ok {
+			return s, nil
+		}
+		if err := c.ctx.Err(); err != nil {
+			return placed{}, c.ended()
+		}
+		if c.left() <= minRunTime {
+			return placed{}, notRun(resultcode.QueueFull, "no target took the request in time: %s", why)
+		}
+		if c.fallback != nil && round >= 2 {
+			return placed{}, notRun(resultcode.QueueFull, "no second target: %s", why)
+		}
+		if round > 1 {
+			c.pause()
+		}
+	}
+}
+
+func (c *call) ended() error {
+	if errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
+		return notRun(resultcode.DeadlineTooShort, "deadline passed before a target took the request")
+	}
+	return notRun(resultcode.CallerGone, "caller left before a target took the request")
+}
+
+func (c *call) pause() {
+	timer := time.NewTimer(roundPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
+// ask goes through the host nodes once. The first round asks for targets with a
+// recent success, the second for any that is not gray, and later ones wait for
+// a slot.
+func (c *call) ask(round int) (placed, admission.Reason, bool) {
+	why := admission.NoTarget
+	force := c.mayForce()
+	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Download: c.route.Download, Tried: c.tried}
+	for i, cand := range c.p.view.Order(work) {
+		if i >= asksPerRound || c.ctx.Err() != nil {
+			break
+		}
+		if cand.Last && !force {
+			if i == 0 {
+				why = admission.IsGray
+			}
+			break
+		}
+		req := admission.Request{
+			Target: cand.Target, Service: c.service, Zone: c.p.zone, Priority: c.route.Priority,
+			Idempotent: c.q.idempotent, Unproven: round > 0, Forced: cand.Last && force,
+		}
+		if round > 1 {
+			req.MaxWait = min(queueWait, c.left()/2)
+		}
+		var s placed
+		var ok bool
+		if s, why, ok = c.reserve(cand, req); ok {
+			return s, admission.None, true
+		}
+	}
+	return placed{}, why, false
+}
+
+// mayForce reports whether the request has looked for a good target long enough.
+func (c *call) mayForce() bool {
+	return time.Since(c.start) > time.Duration(forceAfter*float64(c.route.Objective)) && c.fallback == nil
+}
+
+func (c *call) reserve(cand placement.Candidate, req admission.Request) (placed, admission.Reason, bool) {
+	if cand.Addr == c.p.self {
+		t, why := c.p.host.reserve(c.ctx, req)
+		if t == nil {
+			c.p.view.Refused(cand.Addr)
+			return placed{}, why, false
+		}
+		return placed{&localSlot{c.p.host, t, req}, cand.Addr, cand.Target}, admission.None, true
+	}
+	s, err := c.p.remote.reserve(c.ctx, cand.Addr, req)
+	var refused refusal
+	switch {
+	case err == nil:
+		c.p.view.PathWorked(cand.Addr)
+		return placed{s, cand.Addr, cand.Target}, admission.None, true
+	case errors.As(err, &refused):
+		c.p.view.PathWorked(cand.Addr)
+		c.p.view.Refused(cand.Addr)
+		return placed{}, refused.why, false
+	case c.ctx.Err() != nil:
+		return placed{}, admission.CallerLeft, false
+	}
+	c.p.view.PathFailed(cand.Addr)
+	c.p.log.pathFailed(c.q.id, cand.Addr, err)
+	return placed{}, admission.NoTarget, false
+}
--- /dev/null
+++ b/mesh/serve.go
@@ -0,0 +1,179 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hyssopbridge/config/dynamic"
+)
+
+// defaultLimits hold until the first configuration is in force.
+var defaultLimits = dynamic.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// callerServer serves callers under limits that change with the configuration.
+// Each connection keeps the limits that were in force when it was opened.
+type callerServer struct {
+	handler http.Handler
+
+	mu       sync.Mutex
+	listener net.Listener
+	current  *limitedServer
+	all      []*limitedServer
+	closed   bool
+}
+
+// limitedServer is an http.Server with fixed limits and the connections that
+// are handed to it.
+type limitedServer struct {
+	limits dynamic.Limits
+	http   *http.Server
+	conns  chan net.Conn
+	done   chan struct{}
+	once   sync.Once
+	addr   net.Addr
+}
+
+func newCallerServer(h http.Handler) *callerServer {
+	return &callerServer{handler: h}
+}
+
+func (s *callerServer) serve(l net.Listener) {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	s.setLimits(defaultLimits)
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.hand(c)
+	}
+}
+
+// acceptPause follows a failed accept, as when descriptors run out.
+const acceptPause = 10 * time.Millisecond
+
+func (s *callerServer) hand(c net.Conn) {
+	s.mu.Lock()
+	srv := s.current
+	s.mu.Unlock()
+	select {
+	case srv.conns <- c:
+	case <-srv.done:
+		c.Close()
+	}
+}
+
+// setLimits applies to connections that are opened from now on.
+func (s *callerServer) setLimits(l dynamic.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.listener == nil || (s.current != nil && s.current.limits == l) {
+		return
+	}
+	for _, old := range s.all {
+		if old.limits == l {
+			s.current = old
+			return
+		}
+	}
+	srv := &limitedServer{limits: l, conns: make(chan net.Conn), done: make(chan struct{}), addr: s.listener.Addr()}
+	srv.http = &http.Server{
+		Handler: s.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+		MaxHeaderBytes: l.HeaderBytes, ErrorLog: quietLog(),
+	}
+	s.all = append(s.all, srv)
+	s.current = srv
+	go serveListener(srv.http, srv)
+}
+
+// Accept implements net.Listener.
+func (l *limitedServer) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *limitedServer) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *limitedServer) Addr() net.Addr { return l.addr }
+
+// shutdown closes the listener and idle connections and waits for requests in
+// flight until ctx ends.
+func (s *callerServer) shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
+	all := s.all
+	s.mu.Unlock()
+	s.listener.Close()
+	errs := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, srv := range all {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs[i] = srv.http.Shutdown(ctx)
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func serveListener(s *http.Server, l net.Listener) {
+	// Serve returns when the listener is closed.
+	_ = s.Serve(l)
+}
+
+// quietLog drops the lines that net/http writes for each bad connection; the
+// counters and the journal have what matters.
+func quietLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// Constants of connections between nodes. A path that is cut shows only by
+// unanswered probes and unacknowledged data.
+const (
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	unackedLimit  = 2500 * time.Millisecond
+)
+
+// DialNode opens a connection that fails soon after its path is cut.
+func DialNode(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		Control:         setUnackedLimit,
+	}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+func setUnackedLimit(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- /dev/null
+++ b/placement/order.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"hyssopbridge/admission"
+)
+
+// Work describes a request that looks for a target.
+type Work struct {
+	Service    string
+	Idempotent bool
+	Download   bool     // the answer is large, so bytes between availability zones count
+	Tried      []string // hosts that it must not use again
+}
+
+// Candidate is a host to ask.
+type Candidate struct {
+	Host
+	Target string // ID of the target beside it
+	Last   bool   // gray and not due for a trial: only as the last resort
+	score  float64
+}
+
+// Scores that put a class of hosts behind all others.
+const (
+	behindRefused = 4
+	behindStale   = 16
+	behindAvoided = 64
+	behindGray    = 256
+)
+
+// Order returns the hosts to ask, best first. Gray hosts that are not due for a
+// trial come last and have Last set.
+func (v *View) Order(w Work) []Candidate {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	list := v.byService[w.Service]
+	out := make([]Candidate, 0, len(list))
+	for _, h := range list {
+		if h.status.Phase != admission.Serving || h.status.Stopping || slices.Contains(w.Tried, h.Addr) {
+			continue
+		}
+		out = append(out, v.rate(h, w, now))
+	}
+	slices.SortFunc(out, func(a, b Candidate) int {
+		switch {
+		case a.score < b.score:
+			return -1
+		case a.score > b.score:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+func (v *View) rate(h *host, w Work, now time.Duration) Candidate {
+	s := &h.status
+	age := now - h.at
+	slots := max(1, s.Slots)
+	load := float64(max(s.Running+s.Waiting, h.open)) / float64(slots)
+	c := Candidate{Host: h.Host, Target: s.Target}
+	c.score = load + v.cfg.Spread*v.rand.Float64()
+	switch {
+	case h.Addr == v.cfg.Self:
+		c.score -= v.cfg.SelfBonus
+	case h.Zone != v.cfg.Zone && w.Download:
+		c.score += v.cfg.OtherZoneDownload
+	case h.Zone != v.cfg.Zone:
+		c.score += v.cfg.OtherZone
+	}
+	if s.Cold {
+		c.score += v.cfg.Cold
+	}
+	switch {
+	case s.Gray:
+		trialDue := w.Idempotent && s.TrialIn <= age && now >= h.refused && h.Zone == v.cfg.Zone
+		if trialDue && v.rand.Float64() < v.cfg.TrialChance {
+			c.score = -1 + v.cfg.Spread*v.rand.Float64()
+		} else {
+			c.Last = true
+			c.score += behindGray
+		}
+	case s.ProofLeft <= age && w.Idempotent:
+		c.score -= v.cfg.Canary
+	case s.ProofLeft <= age:
+		c.score += v.cfg.Unproven
+	}
+	if now < h.refused {
+		c.score += behindRefused
+	}
+	if now-h.heard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
+		c.score += behindStale
+	}
+	if now < h.avoid {
+		c.score += behindAvoided
+	}
+	return c
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,191 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hyssopbridge/admission"
+)
+
+// Config holds the weights of the order. Loads are in parts of a target's slots.
+type Config struct {
+	Zone      string  // availability zone of this node
+	Self      string  // address of this node
+	OtherZone float64 // added for a host in another availability zone
+	// OtherZoneDownload is OtherZone for requests with large answers.
+	OtherZoneDownload float64
+	SelfBonus         float64 // subtracted for the target on this node's own host
+	Unproven          float64 // added for non-idempotent work on a target without a recent success
+	Canary            float64 // subtracted for idempotent work on a target without a recent success
+	Cold              float64 // added for a target that has just started
+	Spread            float64 // range of the random part
+	TrialChance       float64 // chance that an idempotent request asks a gray target whose trial is due
+	LinkBackoff       time.Duration
+	MaxBackoff        time.Duration
+	StaleAfter        time.Duration // a host that was silent for longer is asked last
+	RefusalHolds      time.Duration // how long a refusal without a newer status counts
+}
+
+// DefaultConfig returns the weights for a node.
+func DefaultConfig(self, zone string) Config {
+	return Config{
+		Zone: zone, Self: self,
+		OtherZone: 0.5, OtherZoneDownload: 1, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
+		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
+		StaleAfter: 4 * time.Second, RefusalHolds: 100 * time.Millisecond,
+	}
+}
+
+// Host is a host node as other nodes know it.
+type Host struct {
+	Addr string // IP:port of its request listener
+	Zone string
+}
+
+type host struct {
+	Host
+	status   admission.Status
+	at       time.Duration // receipt of status
+	heard    time.Duration // receipt of anything
+	open     int           // requests of this node under way there
+	failures int           // consecutive failures of the path to the host
+	avoid    time.Duration // the path is not used before
+	refused  time.Duration // end of the hold after a refusal
+}
+
+// View is what an entry node knows of the host nodes. Its methods are safe for
+// concurrent use.
+type View struct {
+	cfg Config
+	now func() time.Duration
+
+	mu        sync.Mutex
+	hosts     map[string]*host
+	byService map[string][]*host
+	rand      *rand.Rand
+}
+
+// NewView returns an empty View. now is a monotonic clock.
+func NewView(cfg Config, now func() time.Duration, seed uint64) *View {
+	return &View{
+		cfg: cfg, now: now,
+		hosts: map[string]*host{}, byService: map[string][]*host{},
+		rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+	}
+}
+
+// Update records the status of a host node.
+func (v *View) Update(h Host, s admission.Status) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.hosts[h.Addr]
+	if known == nil {
+		known = &host{Host: h}
+		v.hosts[h.Addr] = known
+	}
+	if known.status.Service != s.Service {
+		v.unlist(known)
+		if s.Service != "" {
+			v.byService[s.Service] = append(v.byService[s.Service], known)
+		}
+	}
+	known.Host = h
+	known.status = s
+	known.at = v.now()
+	known.heard = known.at
+	known.refused = 0
+}
+
+// Refresh records the status that a known host node sent with an answer.
+func (v *View) Refresh(addr string, s admission.Status) {
+	v.mu.Lock()
+	known := v.hosts[addr]
+	h := Host{Addr: addr}
+	if known != nil {
+		h = known.Host
+	}
+	v.mu.Unlock()
+	if known != nil {
+		v.Update(h, s)
+	}
+}
+
+// Remove forgets a host node.
+func (v *View) Remove(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil {
+		v.unlist(h)
+		delete(v.hosts, addr)
+	}
+}
+
+func (v *View) unlist(h *host) {
+	list := v.byService[h.status.Service]
+	for i, x := range list {
+		if x == h {
+			v.byService[h.status.Service] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Begin counts a request under way at a host.
+func (v *View) Begin(addr string) { v.count(addr, 1) }
+
+// End ends a request that Begin counted.
+func (v *View) End(addr string) { v.count(addr, -1) }
+
+func (v *View) count(addr string, n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil {
+		h.open = max(0, h.open+n)
+	}
+}
+
+// PathFailed records that the host could not be reached or did not answer in time.
+func (v *View) PathFailed(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	h := v.hosts[addr]
+	if h == nil {
+		return
+	}
+	h.failures++
+	wait := v.cfg.LinkBackoff << min(h.failures-1, 8)
+	h.avoid = v.now() + min(wait, v.cfg.MaxBackoff)
+}
+
+// PathWorked records an answer of the host.
+func (v *View) PathWorked(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil {
+		h.failures, h.avoid = 0, 0
+		h.heard = v.now()
+	}
+}
+
+// Refused records a refusal, so that the next requests ask others first.
+func (v *View) Refused(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil {
+		h.refused = v.now() + v.cfg.RefusalHolds
+	}
+}
+
+// Count returns the number of hosts that are known to serve the service.
+func (v *View) Count(service string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, h := range v.byService[service] {
+		if h.status.Phase == admission.Serving {
+			n++
+		}
+	}
+	return n
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -29,6 +29,18 @@
 	head      headLimiter
 	written   atomic.Int64 // bytes written in the current exchange
 	idleSince time.Time
+	keepAlive time.Duration // idle timeout that the server stated; 0 if none
+}
+
+// reusable reports whether the connection may carry another request. It stays
+// well below the server's stated idle timeout, so that the request does not
+// cross the server's close.
+func (c *conn) reusable(maxIdleAge time.Duration) bool {
+	age := time.Since(c.idleSince)
+	if c.keepAlive > 0 && age > c.keepAlive/2 {
+		return false
+	}
+	return age <= maxIdleAge && c.usable()
 }
 
 func newConn(c net.Conn, addr string) *conn {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,8 +33,17 @@
 	// age makes it unlikely that the server closes the connection just as the
 	// request is sent. 0 means the client's idle timeout.
 	MaxIdleAge time.Duration
+	// Matches reports whether an answer belongs to the request. Answers that do
+	// not are read to their end and dropped, since a faulty server may send a
+	// late or second answer where the next one is due. nil accepts every answer.
+	Matches func(*http.Response) bool
 }
 
+// maxStray bounds the answers of other requests that one exchange drops.
+const maxStray = 3
+
+var errStray = errors.New("only answers of other requests arrived")
+
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	client  *Client
@@ -106,10 +117,11 @@
 			return nil, x.sendErr
 		}
 	}
-	resp, err := x.receive(req)
+	resp, err := x.receiveMatching(req, opt.Matches)
 	if err != nil {
 		return nil, x.joinSendError(err)
 	}
+	x.conn.keepAlive = keepAliveTimeout(resp.Header)
 	resp.Body = &body{x: x, rc: resp.Body, empty: resp.Body == http.NoBody, keep: !resp.Close}
 	return resp, nil
 }
@@ -134,6 +146,33 @@
 	return err
 }
 
+// receiveMatching returns the first answer that belongs to the request.
+func (x *exchange) receiveMatching(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	for range maxStray {
+		resp, err := x.receive(req)
+		if err != nil || matches == nil || matches(resp) {
+			return resp, err
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, unexpectedEOF(err)
+		}
+	}
+	return nil, errStray
+}
+
+// keepAliveTimeout returns the idle timeout that a server states, or 0.
+func keepAliveTimeout(h http.Header) time.Duration {
+	_, after, ok := strings.Cut(h.Get("Keep-Alive"), "timeout=")
+	if !ok {
+		return 0
+	}
+	seconds, err := strconv.Atoi(strings.TrimSpace(strings.SplitN(after, ",", 2)[0]))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 func (x *exchange) receive(req *http.Request) (*http.Response, error) {
 	for range maxInformational {
 		x.conn.head.limit()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -69,7 +69,7 @@
 		if cn == nil {
 			break
 		}
-		if time.Since(cn.idleSince) <= maxIdleAge && cn.usable() {
+		if cn.reusable(maxIdleAge) {
 			return cn, true, nil
 		}
 		cn.Close()
