Judge targets by soft and hard failures and cover calls in the retry budget

Ruled out: forced requests to gray targets as the main cause; fewer than four targets were left only under full load.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -86,6 +86,7 @@
 	Waiting   int
 	ProofLeft time.Duration
 	TrialIn   time.Duration // meaningful while Gray
+	Calls     float64       // requests that the target makes of its own, for each idempotent one that it runs, at most
 }
 
 // reservationTTL is how long a slot is held for a reservation that is not used.
--- a/admission/judge.go
+++ b/admission/judge.go
@@ -16,10 +16,12 @@
 
 // JudgeConfig holds the constants of a Judge.
 type JudgeConfig struct {
-	TrialInterval  time.Duration // between two trials of a gray target
+	TrialInterval  time.Duration // from a failure to the first trial; doubles with each failed trial
+	TrialMax       time.Duration // longest time between two trials
 	TrialTimeout   time.Duration // after which an open trial no longer holds up the next
 	AfterBroken    int           // successes that end a gray phase which began with a broken answer
-	AfterError     int           // successes that end one which began with an error answer
+	AfterError     int           // successes that end one which began with error answers
+	SoftFailures   int           // error answers and timeouts in a row that make a target gray
 	ProofAge       time.Duration // how long a success counts as proof for work that must not repeat
 	ZoneDoubt      time.Duration // how long a failure for one caller zone holds after the target returned
 	FirstTrialWait time.Duration // from an error answer to the first trial
@@ -30,9 +32,11 @@
 func DefaultJudge() JudgeConfig {
 	return JudgeConfig{
 		TrialInterval:  250 * time.Millisecond,
+		TrialMax:       time.Second,
 		TrialTimeout:   time.Second,
 		AfterBroken:    2,
 		AfterError:     1,
+		SoftFailures:   2,
 		ProofAge:       400 * time.Millisecond,
 		ZoneDoubt:      3 * time.Second,
 		FirstTrialWait: 30 * time.Millisecond,
@@ -48,6 +52,8 @@
 	provenAt  time.Duration // end of the newest success
 	proven    bool
 	nextTrial time.Duration
+	trialWait time.Duration
+	soft      int // error answers and timeouts since the newest success
 	trials    int // open trials
 	openedAt  time.Duration
 	zones     map[string]time.Duration // caller zone -> end of its newest failure, until a success
@@ -93,7 +99,6 @@
 func (j *Judge) BeginTrial(now time.Duration) {
 	j.trials++
 	j.openedAt = now
-	j.nextTrial = now + j.cfg.TrialInterval
 }
 
 // EndTrial records the end of a trial, before its evidence.
@@ -110,14 +115,22 @@
 	switch e {
 	case Good:
 		j.good(zone, start, now)
-	case ErrorAnswer:
-		j.fail(zone, now, j.cfg.AfterError, j.cfg.FirstTrialWait)
-	case Broken, Silent:
+	case ErrorAnswer, Silent:
+		j.softFail(zone, now)
+	case Broken:
 		j.fail(zone, now, j.cfg.AfterBroken, j.cfg.TrialInterval)
 	}
 	return before != j.Gray()
 }
 
+// softFail counts a failure that healthy targets also have now and then.
+func (j *Judge) softFail(zone string, now time.Duration) {
+	j.soft++
+	if j.need > 0 || j.soft >= j.cfg.SoftFailures {
+		j.fail(zone, now, j.cfg.AfterError, j.cfg.FirstTrialWait)
+	}
+}
+
 func (j *Judge) good(zone string, start, now time.Duration) {
 	if j.need > 0 && start < j.lastFail {
 		// The request began before the failure, so its success does not show
@@ -126,6 +139,7 @@
 	}
 	delete(j.zones, zone)
 	j.proven, j.provenAt = true, now
+	j.soft = 0
 	if j.need > 0 {
 		j.need--
 		j.nextTrial = now
@@ -137,8 +151,11 @@
 	j.lastFail = now
 	j.zones[zone] = now
 	if j.need == 0 {
-		j.nextTrial = now + wait
+		j.trialWait = wait
+	} else {
+		j.trialWait = min(max(2*j.trialWait, j.cfg.TrialInterval), j.cfg.TrialMax)
 	}
+	j.nextTrial = now + j.trialWait
 	j.need = max(j.need, need)
 }
 
--- a/cmd/hyssopbridge/main.go
+++ b/cmd/hyssopbridge/main.go
@@ -30,7 +30,7 @@
 
 const usage = `usage:
   hyssopbridge node -settings FILE    run one node
-  hyssopbridge platform [-metrics PORT] [-log LEVEL]
+  hyssopbridge platform [-metrics PORT] [-log LEVEL] [-log-lines N]
                                       run one node on the operators' platform
   hyssopbridge demo [-for DURATION]   run an embedded fleet with traffic and faults
 
@@ -126,6 +126,7 @@
 	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
 	metrics := fs.String("metrics", "", "`PORT` of the metrics page; none if empty")
 	level := fs.String("log", "info", "`LEVEL` of the log: debug, info, warn or error")
+	lines := fs.Int("log-lines", operator.LogPerWindow, "lines with the same message in 10 s, at most `N`")
 	if code, done := parse(fs, args); done {
 		return code
 	}
@@ -136,7 +137,7 @@
 	}
 	out := operator.NewAsyncWriter(os.Stdout, logBufferBytes)
 	defer out.Close()
-	logger := &log.Logger{Handler: operator.NewLogLimit(operator.NewLineHandler(out)), Level: parsed}
+	logger := &log.Logger{Handler: operator.NewLogLimitOf(operator.NewLineHandler(out), *lines), Level: parsed}
 	if err := platform.Run(logger, *metrics); err != nil {
 		logger.WithError(err).Error("start")
 		return exitError
--- a/limits/budget.go
+++ b/limits/budget.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,9 +26,9 @@
 	round    float64 // rounding of the allowance, in [0, 1)
 	current  int64   // number of the newest bucket
 	requests [retryBuckets]int
-	retries  [retryBuckets]int
+	retries  [retryBuckets]float64
 	sumReq   int
-	sumRetry int
+	sumRetry float64
 }
 
 // NewRetryBudget returns an empty budget. Nodes need different seeds.
@@ -58,20 +59,45 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if float64(b.sumRetry+1) > b.share*float64(b.sumReq)+b.slack+b.round {
+	if b.room() < 1 {
 		return false
 	}
-	b.retries[b.current%retryBuckets]++
-	b.sumRetry++
+	b.spend(1)
 	return true
 }
 
+// Room returns how many retries may be made now.
+func (b *RetryBudget) Room(now time.Duration) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.room()
+}
+
+// Spend counts retries without asking, such as calls that a retry of another
+// service is expected to make. The number may have a fraction.
+func (b *RetryBudget) Spend(now time.Duration, retries float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.spend(retries)
+}
+
+func (b *RetryBudget) room() float64 {
+	return b.share*float64(b.sumReq) + b.slack + b.round - b.sumRetry
+}
+
+func (b *RetryBudget) spend(retries float64) {
+	b.retries[b.current%retryBuckets] += retries
+	b.sumRetry += retries
+}
+
 // Used returns the requests and retries of the window.
 func (b *RetryBudget) Used(now time.Duration) (requests, retries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.sumReq, b.sumRetry
+	return b.sumReq, int(math.Round(b.sumRetry))
 }
 
 // advance drops the buckets that have left the window.
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -51,11 +51,45 @@
 
 func (b *budgets) request(service string) { b.get(service).Request(b.now()) }
 
-func (b *budgets) allow(service string) bool {
+// allow reports whether a retry may be made at a service, and counts it if so.
+// calls is the number of requests for other services that its run is expected
+// to make: they count as retries there, although other nodes send them on.
+func (b *budgets) allow(service string, calls float64) bool {
+	now := b.now()
+	own := b.get(service)
+	b.configure(own)
+	if own.Room(now) < 1 {
+		return false
+	}
+	others := b.others(service)
+	for _, o := range others {
+		b.configure(o)
+		if calls > 0 && o.Room(now) < calls {
+			return false
+		}
+	}
+	own.Spend(now, 1)
+	for _, o := range others {
+		o.Spend(now, calls)
+	}
+	return true
+}
+
+func (b *budgets) configure(s *limits.RetryBudget) {
 	p := b.policy()
-	s := b.get(service)
 	share := budgetMargin * p.Slack / float64(max(minFleet, b.nodes()))
 	// Each node's allowance is rounded at random, by half a retry on average.
 	s.Configure(budgetMargin*p.Ratio, max(0, share-0.5))
-	return s.Allow(b.now())
+}
+
+func (b *budgets) others(service string) []*limits.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*limits.RetryBudget
+	for name, s := range b.services {
+		if name != service {
+			out = append(out, s)
+		}
+	}
+	return out
 }
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -22,6 +22,7 @@
 	Waiting   int
 	ProofLeft int64
 	TrialIn   int64
+	Calls     int64 // in hundredths
 }
 
 // Bits of wireStatus.Flags.
@@ -84,6 +85,7 @@
 		Flags: bit(s.Stopping, flagStopping) | bit(s.Gray, flagGray) | bit(s.Cold, flagCold),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		ProofLeft: s.ProofLeft.Milliseconds(), TrialIn: s.TrialIn.Milliseconds(),
+		Calls: int64(s.Calls * 100),
 	}
 }
 
@@ -97,6 +99,7 @@
 		Slots: w.Slots, Running: w.Running, Waiting: w.Waiting,
 		ProofLeft: time.Duration(w.ProofLeft) * time.Millisecond,
 		TrialIn:   time.Duration(w.TrialIn) * time.Millisecond,
+		Calls:     float64(w.Calls) / 100,
 	}, nil
 }
 
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -24,6 +24,7 @@
 	caller   func() string // service of the target on this host
 	stopping func() bool
 	splitter *dynamic.Splitter
+	calls    *callRate
 	log      *journal
 	metrics  *metrics
 }
@@ -82,7 +83,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	a, err := e.placer.serve(ctx, q, route, e.splitter.Pick(route), start)
+	service := e.splitter.Pick(route)
+	if service != e.caller() {
+		e.calls.call()
+	}
+	a, err := e.placer.serve(ctx, q, route, service, start)
 	if err != nil {
 		return route, err
 	}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -26,6 +26,7 @@
 	headers *Headers
 	log     *journal
 	metrics *metrics
+	calls   *callRate
 
 	targetAddr func() string // address of the target, which may change while the node runs
 
@@ -45,6 +46,13 @@
 	return t, why
 }
 
+// status returns the status that other nodes see.
+func (h *host) status() admission.Status {
+	s := h.gate.Status()
+	s.Calls = h.calls.rate()
+	return s
+}
+
 // run sends a request under a ticket.
 func (h *host) run(ctx context.Context, t *admission.Ticket, r admission.Request, q *request) (*answer, *resultcode.Error) {
 	if why := t.Use(); why != admission.None {
@@ -52,6 +60,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	x := exchange{client: h.client, headers: h.headers, addr: h.targetAddr(), target: r.Target, caller: q.header.Get(h.headers.Caller)}
+	if r.Idempotent {
+		h.calls.run()
+	}
 	start := time.Now()
 	a, evidence, err := x.do(ctx, q)
 	h.metrics.target(evidence, time.Since(start))
@@ -135,7 +146,7 @@
 	t, why := h.reserve(r.Context(), req)
 	out := w.Header()
 	out["Date"] = nil
-	out[headerStatus] = []string{toField(encodeStatus(h.gate.Status()))}
+	out[headerStatus] = []string{toField(encodeStatus(h.status()))}
 	if t == nil {
 		out[headerRefused] = []string{why.String()}
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -172,7 +183,7 @@
 	a, err := h.runHeld(r)
 	out := w.Header()
 	out["Date"] = nil
-	out[headerStatus] = []string{toField(encodeStatus(h.gate.Status()))}
+	out[headerStatus] = []string{toField(encodeStatus(h.status()))}
 	if err != nil {
 		out[headerResult] = []string{err.Code.String()}
 		out[headerRan] = []string{err.Ran.String()}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -89,6 +89,7 @@
 	n.host = &host{
 		gate: n.gate, client: n.targets, headers: &n.cfg.Headers, log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, tickets: map[string]heldTicket{},
+		calls: &callRate{now: n.now},
 	}
 	n.remote = &remote{client: between, headers: &n.cfg.Headers, status: n.learned}
 	b := newBudgets(n.now, func() RetryPolicy { return *n.policy.Load() }, n.peers.fleetSize, n.cfg.Seed)
@@ -99,7 +100,7 @@
 	n.entry = &entry{
 		placer: p, headers: &n.cfg.Headers, config: n.Config, caller: func() string { return *n.service.Load() },
 		stopping: n.stopping.Load, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
-		log: n.log, metrics: n.metrics,
+		calls: n.host.calls, log: n.log, metrics: n.metrics,
 	}
 }
 
@@ -183,7 +184,7 @@
 
 // statusChanged tells other nodes at once that this node's target changed.
 func (n *Node) statusChanged() {
-	s := n.gate.Status()
+	s := n.host.status()
 	n.log.targetStatus(s)
 	n.view.Update(placement.Host{Addr: n.cfg.Nodes, Zone: n.cfg.Zone}, s)
 	n.peers.changed()
@@ -196,7 +197,7 @@
 	m := message{
 		Flags: bit(n.reader.Load(), flagReader),
 		Addr:  n.cfg.Nodes, Gossip: n.cfg.Gossip, Zone: n.cfg.Zone, Started: n.started.UnixMilli(),
-		Status: encodeStatus(n.gate.Status()),
+		Status: encodeStatus(n.host.status()),
 	}
 	if c := n.config.Load(); c != nil {
 		m.Version = c.Version
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -23,9 +23,9 @@
 	roundPause = 20 * time.Millisecond
 	// minRunTime is the least time that must be left for a request to be sent.
 	minRunTime = 60 * time.Millisecond
-	// forceAfter is the part of a route's objective after which a request is
-	// sent to a gray target rather than not at all.
-	forceAfter = 0.3
+	// forceAfter is the part of a request's time after which it is sent to a
+	// gray target rather than not at all.
+	forceAfter = 0.5
 )
 
 // placer finds a target for each request and repeats what may be repeated.
@@ -70,7 +70,7 @@
 		if err != nil {
 			return c.giveUp(last, err)
 		}
-		if c.arrivals > 0 && !p.budgets.allow(service) {
+		if c.arrivals > 0 && !p.budgets.allow(service, c.expectedCalls()) {
 			s.cancel()
 			return c.giveUp(last, notRun(resultcode.RetryBudgetSpent, "retry budget of service %s is spent", service))
 		}
@@ -129,6 +129,14 @@
 	return c.q.rest == nil && len(c.tried) < c.route.Attempts && c.left() > minRunTime
 }
 
+// expectedCalls returns how many requests another run of this one makes.
+func (c *call) expectedCalls() float64 {
+	if !c.q.idempotent {
+		return 0 // the first run of work that must not repeat
+	}
+	return c.p.view.Calls(c.service)
+}
+
 func (c *call) left() time.Duration { return time.Until(c.q.deadline) }
 
 func (c *call) run(s placed) (*answer, error) {
@@ -204,12 +212,13 @@
 func (c *call) ask(round int) (placed, admission.Reason, bool) {
 	why := admission.NoTarget
 	force := c.mayForce()
-	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Download: c.route.Download, Tried: c.tried}
+	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Careful: c.arrivals > 0, Download: c.route.Download, Tried: c.tried}
 	for i, cand := range c.p.view.Order(work) {
 		if i >= asksPerRound || c.ctx.Err() != nil {
 			break
 		}
-		if cand.Last && !force {
+		if cand.Last && (!force || i > 0) {
+			// A gray target is the last resort where no other is left.
 			if i == 0 {
 				why = admission.IsGray
 			}
@@ -233,7 +242,8 @@
 
 // mayForce reports whether the request has looked for a good target long enough.
 func (c *call) mayForce() bool {
-	return time.Since(c.start) > time.Duration(forceAfter*float64(c.route.Objective)) && c.fallback == nil
+	total := c.q.deadline.Sub(c.start)
+	return time.Since(c.start) > time.Duration(forceAfter*float64(total)) && c.fallback == nil
 }
 
 func (c *call) reserve(cand placement.Candidate, req admission.Request) (placed, admission.Reason, bool) {
--- a/operator/loglimit.go
+++ b/operator/loglimit.go
@@ -10,8 +10,9 @@
 
 const (
 	// logWindow and logPerWindow bound the lines with one message.
-	logWindow    = 10 * time.Second
-	logPerWindow = 20
+	logWindow = 10 * time.Second
+	// LogPerWindow is the usual number of lines.
+	LogPerWindow = 20
 	// maxLogMessages bounds the messages that are counted apart. All others
 	// share one bound.
 	maxLogMessages = 256
@@ -26,8 +27,9 @@
 // message and level on. The first line after a suppression has a field with the
 // number of lines that are missing.
 type LogLimit struct {
-	next log.Handler
-	now  func() time.Time
+	next  log.Handler
+	lines int // with one message, in each window
+	now   func() time.Time
 
 	mu       sync.Mutex
 	messages map[logKey]*logCount
@@ -44,9 +46,13 @@
 	suppressed int
 }
 
-// NewLogLimit wraps next.
-func NewLogLimit(next log.Handler) *LogLimit {
-	return &LogLimit{next: next, now: time.Now, messages: map[logKey]*logCount{}}
+// NewLogLimit wraps next and passes LogPerWindow lines with one message in 10 s.
+func NewLogLimit(next log.Handler) *LogLimit { return NewLogLimitOf(next, LogPerWindow) }
+
+// NewLogLimitOf wraps next and passes the given number of lines with one
+// message in 10 s.
+func NewLogLimitOf(next log.Handler, lines int) *LogLimit {
+	return &LogLimit{next: next, lines: lines, now: time.Now, messages: map[logKey]*logCount{}}
 }
 
 // HandleLog implements log.Handler.
@@ -83,7 +89,7 @@
 		missing = c.suppressed
 		*c = logCount{start: now}
 	}
-	if c.lines >= logPerWindow {
+	if c.lines >= l.lines {
 		c.suppressed++
 		return 0, false
 	}
--- a/operator/loglimit_test.go
+++ b/operator/loglimit_test.go
@@ -21,13 +21,13 @@
 		logger.Warn("storm")
 	}
 	logger.Info("storm")
-	if n := len(out.Entries); n != logPerWindow+1 {
-		t.Fatalf("%d lines passed, want %d of one level and 1 of another", n, logPerWindow)
+	if n := len(out.Entries); n != LogPerWindow+1 {
+		t.Fatalf("%d lines passed, want %d of one level and 1 of another", n, LogPerWindow)
 	}
 	now = now.Add(logWindow)
 	logger.WithField("a", 1).Warn("storm")
 	last := out.Entries[len(out.Entries)-1]
-	if last.Fields["suppressed"] != 1000-logPerWindow || last.Fields["a"] != 1 {
+	if last.Fields["suppressed"] != 1000-LogPerWindow || last.Fields["a"] != 1 {
 		t.Errorf("fields %v", last.Fields)
 	}
 	for i := range 5000 {
--- a/placement/order.go
+++ b/placement/order.go
@@ -11,6 +11,7 @@
 type Work struct {
 	Service    string
 	Idempotent bool
+	Careful    bool     // idempotent, but must not serve as a trial
 	Download   bool     // the answer is large, so bytes between availability zones count
 	Tried      []string // hosts that it must not use again
 }
@@ -77,14 +78,14 @@
 	}
 	switch {
 	case s.Gray:
-		trialDue := w.Idempotent && s.TrialIn <= age && now >= h.refused && h.Zone == v.cfg.Zone
+		trialDue := w.Idempotent && !w.Careful && s.TrialIn <= age && now >= h.refused && h.Zone == v.cfg.Zone
 		if trialDue && v.rand.Float64() < v.cfg.TrialChance {
 			c.score = -1 + v.cfg.Spread*v.rand.Float64()
 		} else {
 			c.Last = true
 			c.score += behindGray
 		}
-	case s.ProofLeft <= age && w.Idempotent:
+	case s.ProofLeft <= age && w.Idempotent && !w.Careful:
 		c.score -= v.cfg.Canary
 	case s.ProofLeft <= age:
 		c.score += v.cfg.Unproven
--- a/placement/view.go
+++ b/placement/view.go
@@ -189,3 +189,21 @@
 	}
 	return n
 }
+
+// Calls returns how many requests a target of the service makes of its own for
+// each idempotent one that it runs, as the mean of what host nodes state.
+func (v *View) Calls(service string) float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	sum, n := 0.0, 0
+	for _, h := range v.byService[service] {
+		if h.status.Calls > 0 {
+			sum += h.status.Calls
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
