Bound the wait for a target and serve other nodes while stopping

Cause: under overload requests waited to their deadline, were answered late or refused at the end; a stopping node refused work for its target 2.5 s before it ended. Requests now wait for half of the objective, trials of gray targets come at most 500 ms apart, and a stopping node takes work for 80% of the time in which callers are served.

--- a/admission/judge.go
+++ b/admission/judge.go
@@ -32,7 +32,7 @@
 func DefaultJudge() JudgeConfig {
 	return JudgeConfig{
 		TrialInterval:  250 * time.Millisecond,
-		TrialMax:       time.Second,
+		TrialMax:       500 * time.Millisecond,
 		TrialTimeout:   time.Second,
 		AfterBroken:    2,
 		AfterError:     1,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -299,17 +299,30 @@
 // Gossip returns the address by which other nodes reach this one.
 func (n *Node) Gossip() string { return n.cfg.Gossip }
 
+// targetPart is the part of the time in which callers are still served during
+// which the target beside this node still takes work. What it took by then ends
+// before the process does.
+const targetPart = 0.8
+
 // Stop ends the node after its requests have ended, or when ctx ends. It serves
-// callers that still come for at least settle, refuses work for its target, and
-// lets what is in flight finish.
+// callers that still come for settle, refuses work for its target shortly
+// before, and lets what is in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
+	n.peers.changed()
+	wait(ctx, time.Duration(targetPart*float64(settle)))
 	n.gate.Stop()
-	select {
-	case <-time.After(settle):
-	case <-ctx.Done():
-	}
+	wait(ctx, settle-time.Duration(targetPart*float64(settle)))
 	err := errors.Join(n.callers.shutdown(ctx), n.nodes.Shutdown(ctx))
 	n.cancel()
 	return err
 }
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -23,9 +23,12 @@
 	roundPause = 20 * time.Millisecond
 	// minRunTime is the least time that must be left for a request to be sent.
 	minRunTime = 60 * time.Millisecond
-	// forceAfter is the part of a request's time after which it is sent to a
-	// gray target rather than not at all.
-	forceAfter = 0.5
+	// holdPart is the part of a route's objective for which a request waits for
+	// a target. Under overload, a longer wait only makes more answers late.
+	holdPart = 0.5
+	// forceAfter is the part of a route's objective after which a request is
+	// sent to a gray target rather than not at all.
+	forceAfter = 0.4
 )
 
 // placer finds a target for each request and repeats what may be repeated.
@@ -137,6 +140,11 @@
 	return c.p.view.Calls(c.service)
 }
 
+// held returns how long the request has been here, in parts of the objective.
+func (c *call) held() float64 {
+	return float64(time.Since(c.start)) / float64(c.route.Objective)
+}
+
 func (c *call) left() time.Duration { return time.Until(c.q.deadline) }
 
 func (c *call) run(s placed) (*answer, error) {
@@ -178,7 +186,7 @@
 		if err := c.ctx.Err(); err != nil {
 			return placed{}, c.ended()
 		}
-		if c.left() <= minRunTime {
+		if c.left() <= minRunTime || c.held() > holdPart {
 			return placed{}, notRun(resultcode.QueueFull, "no target took the request in time: %s", why)
 		}
 		if c.fallback != nil && round >= 2 {
@@ -242,8 +250,7 @@
 
 // mayForce reports whether the request has looked for a good target long enough.
 func (c *call) mayForce() bool {
-	total := c.q.deadline.Sub(c.start)
-	return time.Since(c.start) > time.Duration(forceAfter*float64(total)) && c.fallback == nil
+	return c.held() > forceAfter && c.fallback == nil
 }
 
 func (c *call) reserve(cand placement.Candidate, req admission.Request) (placed, admission.Reason, bool) {
