Use as trials only requests that can be sent again

Three successes in a row now end a gray phase, since two happen by chance in half of the long phases, and work that must not repeat waits for a fifth of its objective before it goes to an untested target.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -69,6 +69,7 @@
 	Priority   int           // 0 is the most urgent
 	Idempotent bool          // may run more than once, so it may serve as a trial
 	Unproven   bool          // accept a target without a recent success
+	Untested   bool          // accept a target without any success; implies Unproven
 	Forced     bool          // accept a gray target
 	MaxWait    time.Duration // longest wait for a slot; 0 refuses at once
 }
@@ -224,10 +225,10 @@
 	if g.judge.Doubted(req.Zone, now) {
 		return IsGray
 	}
-	if !req.Unproven && !g.judge.Proven(now) {
-		return IsUnproven
+	if req.Untested || g.judge.Proven(now) || (req.Unproven && g.judge.Tested()) {
+		return None
 	}
-	return None
+	return IsUnproven
 }
 
 func (g *Gate) grant(req Request) *Ticket {
--- a/admission/judge.go
+++ b/admission/judge.go
@@ -19,7 +19,7 @@
 	TrialInterval  time.Duration // from a failure to the first trial; doubles with each failed trial
 	TrialMax       time.Duration // longest time between two trials
 	TrialTimeout   time.Duration // after which an open trial no longer holds up the next
-	AfterBroken    int           // successes that end a gray phase which began with a broken answer
+	AfterBroken    int           // successes in a row that end a gray phase which began with a broken answer
 	AfterError     int           // successes that end one which began with error answers
 	SoftFailures   int           // error answers and timeouts in a row that make a target gray
 	ProofAge       time.Duration // how long a success counts as proof for work that must not repeat
@@ -34,7 +34,7 @@
 		TrialInterval:  250 * time.Millisecond,
 		TrialMax:       500 * time.Millisecond,
 		TrialTimeout:   time.Second,
-		AfterBroken:    2,
+		AfterBroken:    3,
 		AfterError:     1,
 		SoftFailures:   2,
 		ProofAge:       400 * time.Millisecond,
@@ -46,17 +46,19 @@
 // Judge decides from the outcomes of requests whether a target is gray. It is
 // not safe for concurrent use.
 type Judge struct {
-	cfg       JudgeConfig
-	need      int           // successes still needed; 0 while the target is good
-	lastFail  time.Duration // end of the newest failure
-	provenAt  time.Duration // end of the newest success
-	proven    bool
-	nextTrial time.Duration
-	trialWait time.Duration
-	soft      int // error answers and timeouts since the newest success
-	trials    int // open trials
-	openedAt  time.Duration
-	zones     map[string]time.Duration // caller zone -> end of its newest failure, until a success
+	cfg        JudgeConfig
+	need       int           // successes still needed; 0 while the target is good
+	lastFail   time.Duration // end of the newest failure
+	provenAt   time.Duration // end of the newest success
+	proven     bool
+	tested     bool
+	recovering bool // the newest trial succeeded
+	nextTrial  time.Duration
+	trialWait  time.Duration
+	soft       int // error answers and timeouts since the newest success
+	trials     int // open trials
+	openedAt   time.Duration
+	zones      map[string]time.Duration // caller zone -> end of its newest failure, until a success
 }
 
 // NewJudge returns a Judge of a target without evidence.
@@ -87,9 +89,13 @@
 	return max(0, j.provenAt+j.cfg.ProofAge-now)
 }
 
-// TrialIn returns the time until the next trial may start.
+// Tested reports whether the target has answered well since it became known.
+func (j *Judge) Tested() bool { return j.tested }
+
+// TrialIn returns the time until the next trial may start. Until a trial has
+// succeeded there is one at a time, then as many as successes are still needed.
 func (j *Judge) TrialIn(now time.Duration) time.Duration {
-	if j.trials > 0 {
+	if open := j.trials; open > 0 && (!j.recovering || open >= j.need) {
 		return max(0, j.openedAt+j.cfg.TrialTimeout-now)
 	}
 	return max(0, j.nextTrial-now)
@@ -138,16 +144,18 @@
 		return
 	}
 	delete(j.zones, zone)
-	j.proven, j.provenAt = true, now
+	j.proven, j.provenAt, j.tested = true, now, true
 	j.soft = 0
 	if j.need > 0 {
 		j.need--
 		j.nextTrial = now
+		j.recovering = true
 	}
 }
 
 func (j *Judge) fail(zone string, now time.Duration, need int, wait time.Duration) {
 	j.proven = false
+	j.recovering = false
 	j.lastFail = now
 	j.zones[zone] = now
 	if j.need == 0 {
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -16,7 +16,7 @@
 // budgetMargin is the part of the fleet's allowance that nodes use. The rest
 // covers requests that are counted in another window than their retries, and
 // the random rounding of each node's allowance.
-const budgetMargin = 0.8
+const budgetMargin = 0.9
 
 // minFleet is the number of nodes that share the slack at least. A node that
 // knows few others must not take their part.
@@ -55,19 +55,11 @@
 // calls is the number of requests for other services that its run is expected
 // to make: they count as retries there, although other nodes send them on.
 func (b *budgets) allow(service string, calls float64) bool {
-	now := b.now()
-	own := b.get(service)
-	b.configure(own)
-	if own.Room(now) < 1 {
+	own, others, ok := b.room(service, calls)
+	if !ok {
 		return false
 	}
-	others := b.others(service)
-	for _, o := range others {
-		b.configure(o)
-		if calls > 0 && o.Room(now) < calls {
-			return false
-		}
-	}
+	now := b.now()
 	own.Spend(now, 1)
 	for _, o := range others {
 		o.Spend(now, calls)
@@ -75,6 +67,24 @@
 	return true
 }
 
+// hasRoom reports whether a retry could be made now.
+func (b *budgets) hasRoom(service string, calls float64) bool {
+	_, _, ok := b.room(service, calls)
+	return ok
+}
+
+func (b *budgets) room(service string, calls float64) (own *limits.RetryBudget, others []*limits.RetryBudget, ok bool) {
+	now := b.now()
+	own, others = b.get(service), b.others(service)
+	b.configure(own)
+	ok = own.Room(now) >= 1
+	for _, o := range others {
+		b.configure(o)
+		ok = ok && (calls == 0 || o.Room(now) >= calls)
+	}
+	return own, others, ok
+}
+
 func (b *budgets) configure(s *limits.RetryBudget) {
 	p := b.policy()
 	share := budgetMargin * p.Slack / float64(max(minFleet, b.nodes()))
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -26,6 +26,10 @@
 	// holdPart is the part of a route's objective for which a request waits for
 	// a target. Under overload, a longer wait only makes more answers late.
 	holdPart = 0.5
+	// untestedAfter is the part of a route's objective after which work that must
+	// not repeat goes to a target that has not answered yet. By then idempotent
+	// work has tested most targets.
+	untestedAfter = 0.2
 	// forceAfter is the part of a route's objective after which a request is
 	// sent to a gray target rather than not at all.
 	forceAfter = 0.4
@@ -220,7 +224,7 @@
 func (c *call) ask(round int) (placed, admission.Reason, bool) {
 	why := admission.NoTarget
 	force := c.mayForce()
-	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Careful: c.arrivals > 0, Download: c.route.Download, Tried: c.tried}
+	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Careful: c.mustBeCareful(), Download: c.route.Download, Tried: c.tried}
 	for i, cand := range c.p.view.Order(work) {
 		if i >= asksPerRound || c.ctx.Err() != nil {
 			break
@@ -235,6 +239,7 @@
 		req := admission.Request{
 			Target: cand.Target, Service: c.service, Zone: c.p.zone, Priority: c.route.Priority,
 			Idempotent: c.q.idempotent, Unproven: round > 0, Forced: cand.Last && force,
+			Untested: c.held() > untestedAfter,
 		}
 		if round > 1 {
 			req.MaxWait = min(queueWait, c.left()/2)
@@ -248,6 +253,12 @@
 	return placed{}, why, false
 }
 
+// mustBeCareful reports whether the request could not be sent again if it met a
+// gray target, so it must not serve as a trial.
+func (c *call) mustBeCareful() bool {
+	return c.arrivals > 0 || c.route.Attempts < 2 || !c.p.budgets.hasRoom(c.service, c.expectedCalls())
+}
+
 // mayForce reports whether the request has looked for a good target long enough.
 func (c *call) mayForce() bool {
 	return c.held() > forceAfter && c.fallback == nil
