--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -20,8 +20,8 @@
 	farInterval  = 2 * time.Second
 	// gossipTick is the resolution of the intervals.
 	gossipTick = 250 * time.Millisecond
-	// repeatAfter is when a notice of a change is sent once more, since
-	// datagrams are lost now and then.
+	// repeatAfter is when a notice of a change is sent once more in the own
+	// availability zone, since datagrams are lost now and then.
 	repeatAfter = 50 * time.Millisecond
 	// silentInterval separates the datagrams to a node that does not answer.
 	silentInterval = 5 * time.Second
@@ -77,11 +77,11 @@
 			p.conn.Close()
 			return
 		case <-p.notice:
-			p.broadcast()
+			p.broadcast(false)
 			repeat = time.After(repeatAfter)
 		case <-repeat:
 			repeat = nil
-			p.broadcast()
+			p.broadcast(true)
 		case <-tick.C:
 			p.sendDue()
 		}
@@ -120,12 +120,15 @@
 	return q
 }
 
-func (p *peers) broadcast() {
+// broadcast sends the state to all nodes, or to those of the own zone, which
+// use the target most.
+func (p *peers) broadcast(ownZone bool) {
+	zone := p.state().Zone
 	p.mu.Lock()
 	to := make([]netip.AddrPort, 0, len(p.byGossip))
 	now := p.now()
 	for _, q := range p.byGossip {
-		if !q.silent {
+		if !q.silent && (!ownZone || q.msg.Zone == zone) {
 			q.sent = now
 			to = append(to, q.gossip)
 		}
--- a/placement/view.go
+++ b/placement/view.go
@@ -31,7 +31,7 @@
 func DefaultConfig(self, zone string) Config {
 	return Config{
 		Zone: zone, Self: self,
-		OtherZone: 0.5, OtherZoneDownload: 1, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
+		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
 		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
 		StaleAfter: 4 * time.Second, RefusalHolds: 100 * time.Millisecond,
 	}
