Ask other zones less often under overload

Cause: a waiting request asked up to four host nodes every 100 ms, also across zones; under overload this made most of the bytes between zones.

--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -18,7 +18,7 @@
 	asksPerRound = 4
 	// queueWait is the longest wait for a slot at one host node before the
 	// request looks for another.
-	queueWait = 100 * time.Millisecond
+	queueWait = 200 * time.Millisecond
 	// roundPause separates rounds in which every host node refused.
 	roundPause = 20 * time.Millisecond
 	// minRunTime is the least time that must be left for a request to be sent.
@@ -220,39 +220,77 @@
 
 // ask goes through the host nodes once. The first round asks for targets with a
 // recent success, the second for any that is not gray, and later ones wait for
-// a slot.
+// a slot at one host.
 func (c *call) ask(round int) (placed, admission.Reason, bool) {
-	why := admission.NoTarget
-	force := c.mayForce()
-	work := placement.Work{Service: c.service, Idempotent: c.q.idempotent, Careful: c.mustBeCareful(), Download: c.route.Download, Tried: c.tried}
-	for i, cand := range c.p.view.Order(work) {
-		if i >= asksPerRound || c.ctx.Err() != nil {
+	why := admission.IsBusy
+	asks := 0
+	for _, cand := range c.candidates(round) {
+		if asks == asksPerRound || c.ctx.Err() != nil {
 			break
 		}
-		if cand.Last && (!force || i > 0) {
-			// A gray target is the last resort where no other is left.
-			if i == 0 {
-				why = admission.IsGray
-			}
-			break
-		}
-		req := admission.Request{
-			Target: cand.Target, Service: c.service, Zone: c.p.zone, Priority: c.route.Priority,
-			Idempotent: c.q.idempotent, Unproven: round > 0, Forced: cand.Last && force,
-			Untested: c.held() > untestedAfter,
-		}
-		if round > 1 {
-			req.MaxWait = min(queueWait, c.left()/2)
-		}
+		asks++
 		var s placed
 		var ok bool
-		if s, why, ok = c.reserve(cand, req); ok {
+		if s, why, ok = c.reserve(cand, c.reservation(cand, round)); ok {
 			return s, admission.None, true
 		}
 	}
 	return placed{}, why, false
 }
 
+// candidates returns the host nodes to ask in a round.
+func (c *call) candidates(round int) []placement.Candidate {
+	all := c.p.view.Order(placement.Work{
+		Service: c.service, Idempotent: c.q.idempotent, Careful: c.mustBeCareful(),
+		Download: c.route.Download, Tried: c.tried,
+	})
+	if len(all) > 0 && all[0].Last {
+		// Gray targets are the last resort where no other is left.
+		if !c.mayForce() {
+			return nil
+		}
+		return all[:1]
+	}
+	if round > 1 {
+		return toQueueAt(all)
+	}
+	out := all[:0]
+	for _, cand := range all {
+		if !cand.Held && !cand.Last {
+			out = append(out, cand)
+		}
+	}
+	return out
+}
+
+// toQueueAt returns the host at which to wait for a slot, preferably in the own
+// availability zone, and any other host that did not refuse a moment ago.
+func toQueueAt(all []placement.Candidate) []placement.Candidate {
+	var free, queue []placement.Candidate
+	for _, cand := range all {
+		switch {
+		case cand.Last:
+		case !cand.Held:
+			free = append(free, cand)
+		case len(queue) == 0 || (queue[0].Far && !cand.Far):
+			queue = []placement.Candidate{cand}
+		}
+	}
+	return append(free, queue...)
+}
+
+func (c *call) reservation(cand placement.Candidate, round int) admission.Request {
+	r := admission.Request{
+		Target: cand.Target, Service: c.service, Zone: c.p.zone, Priority: c.route.Priority,
+		Idempotent: c.q.idempotent, Unproven: round > 0, Forced: cand.Last,
+		Untested: c.held() > untestedAfter,
+	}
+	if round > 1 && cand.Held {
+		r.MaxWait = min(queueWait, c.left()/2)
+	}
+	return r
+}
+
 // mustBeCareful reports whether the request could not be sent again if it met a
 // gray target, so it must not serve as a trial.
 func (c *call) mustBeCareful() bool {
--- a/placement/order.go
+++ b/placement/order.go
@@ -21,6 +21,8 @@
 	Host
 	Target string // ID of the target beside it
 	Last   bool   // gray and not due for a trial: only as the last resort
+	Held   bool   // it refused a request a moment ago
+	Far    bool   // in another availability zone
 	score  float64
 }
 
@@ -63,7 +65,7 @@
 	age := now - h.at
 	slots := max(1, s.Slots)
 	load := float64(max(s.Running+s.Waiting, h.open)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target}
+	c := Candidate{Host: h.Host, Target: s.Target, Held: now < h.refused, Far: h.Zone != v.cfg.Zone}
 	c.score = load + v.cfg.Spread*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
@@ -90,7 +92,7 @@
 	case s.ProofLeft <= age:
 		c.score += v.cfg.Unproven
 	}
-	if now < h.refused {
+	if c.Held {
 		c.score += behindRefused
 	}
 	if now-h.heard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
--- a/placement/view.go
+++ b/placement/view.go
@@ -24,7 +24,8 @@
 	LinkBackoff       time.Duration
 	MaxBackoff        time.Duration
 	StaleAfter        time.Duration // a host that was silent for longer is asked last
-	RefusalHolds      time.Duration // how long a refusal without a newer status counts
+	RefusalHolds      time.Duration // how long after a refusal a host in the own zone is not asked again
+	FarHolds          time.Duration // the same for a host in another zone, where asking is charged for
 }
 
 // DefaultConfig returns the weights for a node.
@@ -33,7 +34,7 @@
 		Zone: zone, Self: self,
 		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
 		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
-		StaleAfter: 4 * time.Second, RefusalHolds: 100 * time.Millisecond,
+		StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 400 * time.Millisecond,
 	}
 }
 
@@ -94,7 +95,6 @@
 	known.status = s
 	known.at = v.now()
 	known.heard = known.at
-	known.refused = 0
 }
 
 // Refresh records the status that a known host node sent with an answer.
@@ -173,7 +173,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if h := v.hosts[addr]; h != nil {
-		h.refused = v.now() + v.cfg.RefusalHolds
+		hold := v.cfg.RefusalHolds
+		if h.Zone != v.cfg.Zone {
+			hold = v.cfg.FarHolds
+		}
+		h.refused = v.now() + hold
 	}
 }
 
