Refuse work that must not repeat at gray targets

A request that found no other target was sent to a gray one after 0.4 of its objective and ended with an unknown outcome in 75 to 85% of cases. It is now refused as not run, except where a gray target had no trial for 2 s, as on a service without idempotent routes.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -70,7 +70,7 @@
 	Idempotent bool          // may run more than once, so it may serve as a trial
 	Unproven   bool          // accept a target without a recent success
 	Untested   bool          // accept a target without any success; implies Unproven
-	Forced     bool          // accept a gray target
+	Forced     bool          // no other target was found; accept a gray one where that is safe
 	MaxWait    time.Duration // longest wait for a slot; 0 refuses at once
 }
 
@@ -209,15 +209,9 @@
 	if req.Service != g.target.Service || (req.Target != "" && req.Target != g.target.ID) {
 		return NoTarget
 	}
-	if req.Forced {
-		return None
-	}
 	now := g.now()
 	if g.judge.Gray() {
-		if req.Idempotent && g.judge.TrialIn(now) == 0 && g.running < g.target.Slots {
-			return None
-		}
-		return IsGray
+		return g.checkGray(req, now)
 	}
 	if req.Idempotent {
 		return None
@@ -231,10 +225,24 @@
 	return IsUnproven
 }
 
+// checkGray admits trials. Idempotent work that found no other target may go to
+// a gray one besides; other work that fails there would have an unknown outcome,
+// so it is refused as not run unless there is nothing else to try the target.
+func (g *Gate) checkGray(req Request, now time.Duration) Reason {
+	due := g.judge.TrialIn(now) == 0
+	switch {
+	case req.Idempotent && (req.Forced || (due && g.running < g.target.Slots)):
+		return None
+	case !req.Idempotent && req.Forced && due && g.judge.LacksTrials(now):
+		return None
+	}
+	return IsGray
+}
+
 func (g *Gate) grant(req Request) *Ticket {
 	g.running++
 	t := &Ticket{gate: g, judge: g.judge, zone: req.Zone, start: g.now()}
-	if g.judge.Gray() && !req.Forced {
+	if g.judge.Gray() {
 		t.trial = true
 		g.judge.BeginTrial(t.start)
 	}
--- a/placement/view.go
+++ b/placement/view.go
@@ -34,7 +34,7 @@
 		Zone: zone, Self: self,
 		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
 		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
-		StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 400 * time.Millisecond,
+		StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 150 * time.Millisecond,
 	}
 }
 
