--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -86,7 +87,7 @@
 		Flags: bit(s.Stopping, flagStopping) | bit(s.Gray, flagGray) | bit(s.Cold, flagCold),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		ProofLeft: s.ProofLeft.Milliseconds(), TrialIn: s.TrialIn.Milliseconds(),
-		Calls: int64(s.Calls * 100),
+		Calls: int64(math.Round(s.Calls * 100)),
 	}
 }
 
--- /dev/null
+++ b/mesh/config_test.go
@@ -0,0 +1,154 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"hyssopbridge/admission"
+)
+
+// Guards against nodes that miss a configuration while they cannot reach its
+// source, and against one that slides back.
+func TestConfigFromPeers(t *testing.T) {
+	a, b, c := startNode(t, nil), startNode(t, nil), startNode(t, nil)
+	connect(t, a, b, c)
+	if err := a.SetConfig([]byte("5"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []*Node{b, c} {
+		eventually(t, "version 5 is in force", func() bool { return n.Config() != nil && n.Config().Version == 5 })
+	}
+	if err := b.SetConfig([]byte("4"), "test"); err != nil || b.Config().Version != 5 {
+		t.Errorf("version %d in force after an older one, error %v", b.Config().Version, err)
+	}
+	if err := b.SetConfig([]byte("spoiled"), "test"); err == nil || b.Config().Version != 5 {
+		t.Errorf("version %d in force after a spoiled one, error %v", b.Config().Version, err)
+	}
+}
+
+// Guards against a restarted node that knows nobody although others know it.
+func TestRestartedNodeIsGreeted(t *testing.T) {
+	a, b := startNode(t, nil), startNode(t, nil)
+	connect(t, a, b)
+	old := b.cfg
+	b.cancel()
+	b.nodes.Close()
+	b.callers.listener.Close()
+	time.Sleep(5 * time.Millisecond)
+	again := New(old)
+	if err := again.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { again.cancel(); again.nodes.Close(); again.callers.listener.Close() })
+	eventually(t, "the restarted node knows the other", func() bool { return again.peers.fleetSize() == 2 })
+}
+
+// Guards against datagrams of an earlier process or an earlier state that
+// replace newer ones, and against a node that stays unknown after its clock was
+// set back.
+func TestOldDatagrams(t *testing.T) {
+	known := &peer{msg: message{Started: 1000, Sequence: 5}, heard: 10 * time.Second}
+	for _, c := range []struct {
+		started  int64
+		sequence uint64
+		silent   time.Duration
+		older    bool
+	}{
+		{1000, 5, 0, true}, {1000, 4, 0, true}, {1000, 6, 0, false},
+		{2000, 1, 0, false}, {500, 9, 0, true}, {500, 9, 5 * time.Second, false},
+	} {
+		msg := message{Started: c.started, Sequence: c.sequence}
+		if got := older(msg, known, known.heard+c.silent); got != c.older {
+			t.Errorf("%+v: older %v", c, got)
+		}
+	}
+}
+
+// Guards against nodes of which none, or each, reads the configuration.
+func TestReaders(t *testing.T) {
+	var nodes []*Node
+	for range 5 {
+		nodes = append(nodes, startNode(t, nil))
+	}
+	connect(t, nodes...)
+	for _, n := range nodes {
+		_ = n.SetConfig([]byte("1"), "test")
+		n.SetReader(true)
+		n.peers.changed()
+	}
+	count := func() int {
+		readers := 0
+		for _, n := range nodes {
+			if n.ShouldRead() {
+				readers++
+			}
+		}
+		return readers
+	}
+	eventually(t, "two nodes of the zone read", func() bool { return count() == readersPerZone })
+	for _, n := range nodes {
+		if n.ShouldRead() {
+			n.SetReader(false) // as when it cannot reach the source
+			n.peers.changed()
+		}
+	}
+	eventually(t, "others read as well", func() bool { return count() > readersPerZone })
+}
+
+// Guards against fields that are lost between nodes and datagrams that exceed
+// the bound.
+func TestCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		millis := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 100_000).Draw(t, name)) * time.Millisecond
+		}
+		s := admission.Status{
+			Target: rapid.StringN(0, 40, 80).Draw(t, "target"), Service: rapid.StringN(0, 40, 80).Draw(t, "service"),
+			Phase:    admission.Phase(rapid.IntRange(0, 2).Draw(t, "phase")),
+			Stopping: rapid.Bool().Draw(t, "stopping"), Gray: rapid.Bool().Draw(t, "gray"), Cold: rapid.Bool().Draw(t, "cold"),
+			Slots: rapid.IntRange(0, 10_000).Draw(t, "slots"), Running: rapid.IntRange(0, 10_000).Draw(t, "running"),
+			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), ProofLeft: millis("proof"), TrialIn: millis("trial"),
+			Calls: float64(rapid.IntRange(0, 800).Draw(t, "calls")) / 100,
+		}
+		var wire wireStatus
+		if err := fromField(toField(encodeStatus(s)), &wire); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := decodeStatus(wire); got != s || err != nil {
+			t.Fatalf("got %+v, %v, want %+v", got, err, s)
+		}
+		b, err := cbor.Marshal(message{Addr: "255.255.255.255:65535", Gossip: "255.255.255.255:65535", Zone: "zone", Status: encodeStatus(s)})
+		if err != nil || len(b) > maxMessageBytes {
+			t.Fatalf("datagram of %d bytes, %v", len(b), err)
+		}
+		r := admission.Request{
+			Target: s.Target, Service: s.Service, Zone: "z", Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Unproven: rapid.Bool().Draw(t, "unproven"),
+			Untested: rapid.Bool().Draw(t, "untested"), Forced: rapid.Bool().Draw(t, "forced"), MaxWait: millis("wait"),
+		}
+		var reserve wireReserve
+		if err := fromField(toField(encodeReserve(r)), &reserve); err != nil {
+			t.Fatal(err)
+		}
+		if got := decodeReserve(reserve); got != r {
+			t.Fatalf("got %+v, want %+v", got, r)
+		}
+	})
+}
+
+func FuzzDatagram(f *testing.F) {
+	b, err := cbor.Marshal(message{Addr: "127.0.0.1:1", Gossip: "127.0.0.1:2", Started: 1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var msg message
+		if cbor.Unmarshal(b, &msg) == nil {
+			_, _ = decodeStatus(msg.Status)
+		}
+	})
+}
--- /dev/null
+++ b/mesh/fixture_test.go
@@ -0,0 +1,233 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
+)
+
+var testHeaders = Headers{
+	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sig", ExpectID: "X-Expect",
+	NotRun: "X-Not-Run", Caller: "X-Caller", TargetID: "X-Target", RetryAfterS: "Retry-After",
+}
+
+const (
+	testService = "s"
+	waitLimit   = 10 * time.Second // ends a test that waits for something that does not happen
+)
+
+// decodeTest reads a version number, optionally followed by a route timeout in ms.
+func decodeTest(raw []byte) (*dynamic.Config, error) {
+	text, timeoutText, _ := strings.Cut(string(raw), " ")
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	timeout := 5 * time.Second
+	if ms, err := strconv.Atoi(timeoutText); err == nil {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	var routes []dynamic.Route
+	for _, name := range []string{"read", "order", "file"} {
+		routes = append(routes, dynamic.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Idempotent: name != "order", Download: name == "file",
+			Timeout: timeout, Objective: timeout, Priority: 1, Attempts: 2,
+			Shares: []dynamic.Share{{Service: testService, Weight: 1}},
+		})
+	}
+	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, routes)
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// target is a stand-in of a target: a script answers each request.
+type target struct {
+	id     string
+	addr   string
+	mu     sync.Mutex
+	script func(w io.Writer, r *http.Request) (keep bool)
+	ran    map[string]int // requests by ID
+	left   chan string    // IDs of requests whose connection the node closed
+}
+
+func startTarget(t *testing.T, id string) *target {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	g := &target{id: id, addr: l.Addr().String(), ran: map[string]int{}, left: make(chan string, 100), script: answerOK}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go g.serve(c)
+		}
+	}()
+	return g
+}
+
+func (g *target) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		g.mu.Lock()
+		g.ran[r.Header.Get("X-Id")]++
+		script := g.script
+		g.mu.Unlock()
+		if !script(c, r) {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			return
+		}
+	}
+}
+
+func (g *target) set(script func(w io.Writer, r *http.Request) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.script = script
+}
+
+func (g *target) runs(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ran[id]
+}
+
+func answerOK(w io.Writer, r *http.Request) bool {
+	writeTestAnswer(w, 200, r.Header.Get("X-Id"), "body of "+r.Header.Get("X-Id"))
+	return true
+}
+
+func writeTestAnswer(w io.Writer, status int, id, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Sig: sig\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
+func reset(io.Writer, *http.Request) bool { return false }
+
+// startNode starts a node with a target. A nil target gives a node without one.
+func startNode(t *testing.T, g *target) *Node {
+	t.Helper()
+	n := New(Config{
+		Zone: "z", Callers: freeAddr(t), Nodes: freeAddr(t), Gossip: freeAddr(t), Headers: testHeaders,
+		Decode: decodeTest, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Seed: 1,
+	})
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.cancel(); n.nodes.Close(); n.callers.listener.Close() })
+	n.SetRetryPolicy(RetryPolicy{Ratio: 1, Slack: 1000})
+	n.SetService("caller-service")
+	if g != nil {
+		n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 4, Phase: admission.Serving}, g.addr, false)
+	}
+	return n
+}
+
+func connect(t *testing.T, nodes ...*Node) {
+	t.Helper()
+	for _, a := range nodes {
+		for _, b := range nodes {
+			if a != b {
+				a.AddPeer(netip.MustParseAddrPort(b.Gossip()))
+			}
+		}
+	}
+	for _, n := range nodes {
+		eventually(t, "all nodes are known", func() bool {
+			n.peers.mu.Lock()
+			defer n.peers.mu.Unlock()
+			known := 0
+			for _, q := range n.peers.byGossip {
+				if q.known {
+					known++
+				}
+			}
+			return known == len(nodes)-1
+		})
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("did not happen: %s", what)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+// send makes a request of a caller to the node.
+func send(t *testing.T, n *Node, path, id string, fields ...string) reply {
+	t.Helper()
+	method := http.MethodGet
+	var body io.Reader
+	if strings.HasPrefix(path, "/order") {
+		method, body = http.MethodPost, strings.NewReader("payload")
+	}
+	req, err := http.NewRequest(method, "http://"+n.cfg.Callers+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Id", id)
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b), err}
+}
+
+func wantReply(t *testing.T, got reply, status int, body string) {
+	t.Helper()
+	if got.status != status || got.err != nil || (body != "" && got.body != body) {
+		t.Errorf("status %d, body %q, error %v; want %d %q", got.status, got.body, got.err, status, body)
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -143,8 +143,8 @@
 	}
 	n.nodes = &http.Server{Handler: http.HandlerFunc(n.serveNode), IdleTimeout: nodeIdleTimeout, ErrorLog: quietLog()}
 	go serveListener(n.nodes, between)
-	n.callers = newCallerServer(n.entry)
-	go n.callers.serve(callers)
+	n.callers = newCallerServer(n.entry, callers)
+	go n.callers.serve()
 	return nil
 }
 
--- /dev/null
+++ b/mesh/path_test.go
@@ -0,0 +1,280 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssopbridge/admission"
+)
+
+// prove makes a target count as tested.
+func prove(t *testing.T, n *Node, id string) {
+	t.Helper()
+	wantReply(t, send(t, n, "/read/prove", id), 200, "body of "+id)
+}
+
+// Guards against answers that lose their status, body or signature on the way
+// over one or two hops, and against requests whose fields are wrong at the target.
+func TestWholePath(t *testing.T) {
+	g := startTarget(t, "t1")
+	host, entry := startNode(t, g), startNode(t, nil)
+	connect(t, host, entry)
+	for _, n := range []*Node{host, entry} {
+		if err := n.SetConfig([]byte("1"), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var mu sync.Mutex
+	var seen *http.Request
+	g.set(func(w io.Writer, r *http.Request) bool {
+		mu.Lock()
+		seen = r
+		mu.Unlock()
+		writeTestAnswer(w, 207, r.Header.Get("X-Id"), "whole")
+		return true
+	})
+	for i, n := range []*Node{host, entry} {
+		got := send(t, n, "/order/%2Fa?q=1&r", fmt.Sprint("id-", i), "X-Caller", "forged", "X-Expect", "forged", "Hb-Ticket", "forged", "X-Other", "kept", "X-Left", "3000")
+		wantReply(t, got, 207, "whole")
+		if got.header.Get("X-Sig") != "sig" || got.header.Get("X-Id") != fmt.Sprint("id-", i) || got.header.Get(headerStatus) != "" {
+			t.Errorf("header of the answer: %v", got.header)
+		}
+		mu.Lock()
+		r := seen
+		mu.Unlock()
+		h := r.Header
+		if r.Method != http.MethodPost || r.RequestURI != "/order/%2Fa?q=1&r" || r.Host != "h.example" {
+			t.Errorf("request line %s %s of host %s", r.Method, r.RequestURI, r.Host)
+		}
+		if h.Get("X-Caller") != "caller-service" || h.Get("X-Expect") != "t1" || h.Get("X-Other") != "kept" || h.Get(headerTicket) != "" {
+			t.Errorf("header of the request: %v", h)
+		}
+		if left, ok := getMillis(h, "X-Left"); !ok || left > 3*time.Second {
+			t.Errorf("deadline %v at the target exceeds the caller's", left)
+		}
+	}
+}
+
+// Guards against an order that is sent to a second target after the first may
+// have run it, and against a refusal that promises too much.
+func TestOrderIsNotRepeated(t *testing.T) {
+	a, b := startTarget(t, "a"), startTarget(t, "b")
+	na, nb := startNode(t, a), startNode(t, b)
+	connect(t, na, nb)
+	for _, n := range []*Node{na, nb} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	a.set(reset)
+	b.set(reset)
+	got := send(t, na, "/order/1", "x")
+	wantReply(t, got, http.StatusBadGateway, "")
+	if runs := a.runs("x") + b.runs("x"); runs != 1 {
+		t.Errorf("order reached %d targets", runs)
+	}
+	if got.header.Get(headerRan) != "unknown" {
+		t.Errorf("answer says ran %q", got.header.Get(headerRan))
+	}
+}
+
+// Guards against reads that fail although another target is good, and against
+// orders that are lost when a target proves that it did not run them.
+func TestRepeatWhereSafe(t *testing.T) {
+	refuse := func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	for name, c := range map[string]struct {
+		path   string
+		script func(io.Writer, *http.Request) bool
+	}{
+		"read after reset":    {"/read/1", reset},
+		"read after cut body": {"/read/1", cutShort},
+		"read after error": {"/read/1", func(w io.Writer, r *http.Request) bool {
+			writeTestAnswer(w, 500, r.Header.Get("X-Id"), "no")
+			return true
+		}},
+		"order after refusal": {"/order/1", refuse},
+	} {
+		bad, good := startTarget(t, "bad"), startTarget(t, "good")
+		nb, ng := startNode(t, bad), startNode(t, good)
+		connect(t, nb, ng)
+		for _, n := range []*Node{nb, ng} {
+			_ = n.SetConfig([]byte("1"), "test")
+			prove(t, n, "prove")
+		}
+		bad.set(c.script)
+		for i := range 6 {
+			id := fmt.Sprint("r", i)
+			got := send(t, nb, c.path, id)
+			if got.status != 200 || got.body != "body of "+id {
+				t.Errorf("%s: status %d, body %q", name, got.status, got.body)
+			}
+		}
+	}
+}
+
+// cutShort promises more bytes than it sends.
+func cutShort(w io.Writer, r *http.Request) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("X-Id"))
+	return false
+}
+
+// Guards against a caller who gets an answer that is not whole, not signed, or
+// another caller's.
+func TestFaultyAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(w io.Writer, r *http.Request) bool
+		status int
+	}{
+		"cut short": {cutShort, http.StatusBadGateway},
+		"unframed and reset": {func(w io.Writer, r *http.Request) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: s\r\n\r\npart", r.Header.Get("X-Id"))
+			time.Sleep(20 * time.Millisecond)
+			return false
+		}, http.StatusBadGateway},
+		"no signature": {func(w io.Writer, r *http.Request) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nContent-Length: 1\r\n\r\nx", r.Header.Get("X-Id"))
+			return true
+		}, http.StatusBadGateway},
+		"no answer at all": {func(w io.Writer, r *http.Request) bool {
+			_, _ = io.WriteString(w, "garbage\r\n\r\n")
+			return false
+		}, http.StatusBadGateway},
+		"another request's answer first": {func(w io.Writer, r *http.Request) bool {
+			writeTestAnswer(w, 200, "other", "not yours")
+			return answerOK(w, r)
+		}, 200},
+		"encoded": {func(w io.Writer, r *http.Request) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx", r.Header.Get("X-Id"))
+			return true
+		}, http.StatusBadGateway},
+	} {
+		g := startTarget(t, "t")
+		n := startNode(t, g)
+		_ = n.SetConfig([]byte("1"), "test")
+		g.set(c.script)
+		got := send(t, n, "/order/1", "x")
+		if got.status != c.status || strings.Contains(got.body, "not yours") || (c.status == 200 && got.body != "body of x") {
+			t.Errorf("%s: status %d, body %q, error %v", name, got.status, got.body, got.err)
+		}
+	}
+}
+
+// Guards against a second answer on a kept connection that reaches the next caller.
+func TestLateSecondAnswer(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	_ = n.SetConfig([]byte("1"), "test")
+	g.set(func(w io.Writer, r *http.Request) bool {
+		answerOK(w, r)
+		writeTestAnswer(w, 200, r.Header.Get("X-Id"), "second answer")
+		return true
+	})
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		wantReply(t, send(t, n, "/order/1", id), 200, "body of "+id)
+	}
+}
+
+// Guards against work that goes on at the target after its caller has left,
+// over two hops.
+func TestCallerLeaves(t *testing.T) {
+	g := startTarget(t, "t")
+	host, entry := startNode(t, g), startNode(t, nil)
+	connect(t, host, entry)
+	for _, n := range []*Node{host, entry} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	started, ended := make(chan struct{}), make(chan struct{})
+	g.set(func(w io.Writer, r *http.Request) bool {
+		close(started)
+		conn := w.(io.ReadWriter)
+		_, _ = conn.Read(make([]byte, 1)) // returns when the node closes
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req := httptest.NewRequest(http.MethodGet, "http://"+entry.cfg.Callers+"/read/1", nil).WithContext(ctx)
+	req.RequestURI, req.Host = "", "h.example"
+	req.Header.Set("X-Id", "x")
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(waitLimit):
+		t.Error("the target still works after the caller has left")
+	}
+}
+
+// Guards against callers that are kept waiting beyond the route's timeout, and
+// against a timeout that claims that the request has not run.
+func TestRouteTimeout(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	_ = n.SetConfig([]byte("1 150"), "test")
+	g.set(func(w io.Writer, r *http.Request) bool {
+		_, _ = w.(io.ReadWriter).Read(make([]byte, 1))
+		return false
+	})
+	wantReply(t, send(t, n, "/order/1", "x", "X-Left", "60000"), http.StatusGatewayTimeout, "")
+}
+
+// Guards against refusals that do not say when to come back, a 404 before any
+// configuration is known, and one for a route that exists.
+func TestRefusals(t *testing.T) {
+	n := startNode(t, nil)
+	wantReply(t, send(t, n, "/read/1", "x"), http.StatusServiceUnavailable, "")
+	if n.Ready() {
+		t.Error("ready without a configuration")
+	}
+	_ = n.SetConfig([]byte("1 200"), "test")
+	got := send(t, n, "/order/1", "x")
+	wantReply(t, got, http.StatusServiceUnavailable, "")
+	if got.header.Get("Retry-After") == "" || got.header.Get(headerRan) != "no" {
+		t.Errorf("refusal lacks its promise: %v", got.header)
+	}
+	wantReply(t, send(t, n, "/none/1", "x"), http.StatusNotFound, "")
+	wantReply(t, send(t, n, "/read/1", ""), http.StatusBadRequest, "")
+}
+
+// Guards against requests cut by a planned stop, new work for the target of a
+// stopping node, and a stop that does not end.
+func TestStopEndsWhatIsInFlight(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	_ = n.SetConfig([]byte("1"), "test")
+	started, finish := make(chan struct{}), make(chan struct{})
+	g.set(func(w io.Writer, r *http.Request) bool {
+		close(started)
+		<-finish
+		return answerOK(w, r)
+	})
+	got := make(chan reply)
+	go func() { got <- send(t, n, "/order/1", "x") }()
+	<-started
+	stopped := make(chan error)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	go func() { stopped <- n.Stop(ctx, 10*time.Millisecond) }()
+	eventually(t, "the gate is closed", func() bool { return n.gate.Status().Stopping })
+	if _, why := n.gate.Reserve(ctx, admission.Request{Service: testService, Idempotent: true}); why != admission.IsStopping {
+		t.Errorf("new work at a stopping node: %s", why)
+	}
+	close(finish)
+	wantReply(t, <-got, 200, "body of x")
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -22,13 +22,13 @@
 // callerServer serves callers under limits that change with the configuration.
 // Each connection keeps the limits that were in force when it was opened.
 type callerServer struct {
-	handler http.Handler
-
-	mu       sync.Mutex
+	handler  http.Handler
 	listener net.Listener
-	current  *limitedServer
-	all      []*limitedServer
-	closed   bool
+
+	mu      sync.Mutex
+	current *limitedServer
+	all     []*limitedServer
+	closed  bool
 }
 
 // limitedServer is an http.Server with fixed limits and the connections that
@@ -42,17 +42,15 @@
 	addr   net.Addr
 }
 
-func newCallerServer(h http.Handler) *callerServer {
-	return &callerServer{handler: h}
+func newCallerServer(h http.Handler, l net.Listener) *callerServer {
+	s := &callerServer{handler: h, listener: l}
+	s.setLimits(defaultLimits)
+	return s
 }
 
-func (s *callerServer) serve(l net.Listener) {
-	s.mu.Lock()
-	s.listener = l
-	s.mu.Unlock()
-	s.setLimits(defaultLimits)
+func (s *callerServer) serve() {
 	for {
-		c, err := l.Accept()
+		c, err := s.listener.Accept()
 		if err != nil {
 			if isClosed(err) {
 				return
@@ -82,7 +80,7 @@
 func (s *callerServer) setLimits(l dynamic.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.listener == nil || (s.current != nil && s.current.limits == l) {
+	if s.closed || (s.current != nil && s.current.limits == l) {
 		return
 	}
 	for _, old := range s.all {
--- /dev/null
+++ b/placement/order_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hyssopbridge/admission"
+)
+
+type testView struct {
+	*View
+	now time.Duration
+}
+
+func newTestView() *testView {
+	v := &testView{now: time.Minute}
+	v.View = NewView(DefaultConfig("self", "z1"), func() time.Duration { return v.now }, 1)
+	return v
+}
+
+func good(slots, running int) admission.Status {
+	return admission.Status{
+		Target: "t", Service: "s", Phase: admission.Serving, Slots: slots, Running: running, ProofLeft: 300 * time.Millisecond,
+	}
+}
+
+func gray(trialIn time.Duration) admission.Status {
+	s := good(5, 0)
+	s.Gray, s.ProofLeft, s.TrialIn = true, 0, trialIn
+	return s
+}
+
+func (v *testView) addrs(w Work) []string {
+	w.Service = "s"
+	var out []string
+	for _, c := range v.Order(w) {
+		out = append(out, c.Addr)
+	}
+	return out
+}
+
+// Guards against bytes between zones while the own zone has room, and against
+// requests that wait in a full zone while another one has room.
+func TestOwnZoneUntilFull(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"near", "z1"}, good(5, 3))
+	v.Update(Host{"far", "z2"}, good(5, 0))
+	for range 50 {
+		if got := v.addrs(Work{}); got[0] != "near" {
+			t.Fatalf("order %v with room in the own zone", got)
+		}
+	}
+	v.Update(Host{"near", "z1"}, good(5, 7))
+	if got := v.addrs(Work{}); got[0] != "far" {
+		t.Errorf("order %v with a queue in the own zone", got)
+	}
+	if got := v.addrs(Work{Download: true}); got[0] != "near" {
+		t.Errorf("order %v of a download with a short queue in the own zone", got)
+	}
+}
+
+// Guards against requests that are lost at a gray target: work that cannot be
+// sent again is never asked there first, and idempotent work only when a trial
+// is due.
+func TestGrayTargets(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"gray", "z1"}, gray(0))
+	v.Update(Host{"good", "z2"}, good(5, 4))
+	trials := 0
+	for range 200 {
+		for _, w := range []Work{{}, {Idempotent: true, Careful: true}} {
+			c := v.Order(Work{Service: "s", Idempotent: w.Idempotent, Careful: w.Careful})
+			if c[0].Addr != "good" || !c[1].Last {
+				t.Fatalf("order %v for %+v", c, w)
+			}
+		}
+		if v.addrs(Work{Idempotent: true})[0] == "gray" {
+			trials++
+		}
+	}
+	if trials == 0 || trials == 200 {
+		t.Errorf("%d of 200 idempotent requests are trials", trials)
+	}
+	v.Update(Host{"gray", "z1"}, gray(time.Second))
+	if got := v.addrs(Work{Idempotent: true}); got[0] != "good" {
+		t.Errorf("order %v before a trial is due", got)
+	}
+	v.now += time.Second
+	found := false
+	for range 50 {
+		found = found || v.addrs(Work{Idempotent: true})[0] == "gray"
+	}
+	if !found {
+		t.Error("no trial after it became due by the age of the status")
+	}
+}
+
+// Guards against orders on targets that may have turned gray unnoticed while
+// idempotent requests could have found out.
+func TestProof(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"a", "z1"}, good(5, 2))
+	v.Update(Host{"b", "z1"}, good(5, 1))
+	v.now += time.Second
+	v.Update(Host{"a", "z1"}, good(5, 2))
+	if got := v.addrs(Work{}); got[0] != "a" {
+		t.Errorf("order %v, want the target with a recent success first", got)
+	}
+	if got := v.addrs(Work{Idempotent: true}); got[0] != "b" {
+		t.Errorf("order %v of idempotent work, want the target without a recent success first", got)
+	}
+}
+
+// Guards against requests that hang on a path which is cut, and against a path
+// that is never used again.
+func TestCutPath(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"cut", "z1"}, good(5, 0))
+	v.Update(Host{"far", "z2"}, good(5, 4))
+	v.PathFailed("cut")
+	if got := v.addrs(Work{}); got[0] != "far" {
+		t.Errorf("order %v after a failure of the path", got)
+	}
+	v.now += v.cfg.LinkBackoff
+	v.Update(Host{"cut", "z1"}, good(5, 0))
+	if got := v.addrs(Work{}); got[0] != "cut" {
+		t.Errorf("order %v after the backoff", got)
+	}
+	for range 40 {
+		v.PathFailed("cut")
+	}
+	v.now += v.cfg.MaxBackoff
+	v.Update(Host{"cut", "z1"}, good(5, 0))
+	if got := v.addrs(Work{}); got[0] != "cut" {
+		t.Errorf("order %v after the longest backoff", got)
+	}
+}
+
+// Guards against a host that is asked twice, left out, or asked although it was
+// tried, is leaving, or belongs to another service now.
+func TestOrderIsComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newTestView()
+		want := map[string]bool{}
+		var tried []string
+		for i := range rapid.IntRange(0, 12).Draw(t, "hosts") {
+			addr := fmt.Sprintf("h%d", i)
+			s := good(rapid.IntRange(0, 5).Draw(t, "slots"), rapid.IntRange(0, 9).Draw(t, "running"))
+			s.Gray = rapid.Bool().Draw(t, "gray")
+			s.Phase = rapid.SampledFrom([]admission.Phase{admission.Absent, admission.Serving, admission.Leaving}).Draw(t, "phase")
+			s.Stopping = rapid.Bool().Draw(t, "stopping")
+			v.Update(Host{addr, "z1"}, good(5, 0))
+			if rapid.Bool().Draw(t, "moves") {
+				s.Service = "other"
+			}
+			v.Update(Host{addr, rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone")}, s)
+			isTried := rapid.Bool().Draw(t, "tried")
+			if isTried {
+				tried = append(tried, addr)
+			}
+			if rapid.Bool().Draw(t, "removed") {
+				v.Remove(addr)
+				continue
+			}
+			want[addr] = s.Service == "s" && s.Phase == admission.Serving && !s.Stopping && !isTried
+		}
+		got := map[string]bool{}
+		for _, addr := range v.addrs(Work{Idempotent: rapid.Bool().Draw(t, "idempotent"), Tried: tried}) {
+			if got[addr] || !want[addr] {
+				t.Fatalf("host %s: asked twice %v, may be asked %v", addr, got[addr], want[addr])
+			}
+			got[addr] = true
+		}
+		for addr, ok := range want {
+			if ok && !got[addr] {
+				t.Fatalf("host %s is left out", addr)
+			}
+		}
+	})
+}
