--- a/admission/gate.go
+++ b/admission/gate.go
@@ -68,12 +68,16 @@
 	Zone       string        // availability zone of the entry node
 	Priority   int           // 0 is the most urgent
 	Idempotent bool          // may run more than once, so it may serve as a trial
+	Careful    bool          // idempotent, but could not be sent again if it met a gray target
 	Unproven   bool          // accept a target without a recent success
 	Untested   bool          // accept a target without any success; implies Unproven
 	Forced     bool          // no other target was found; accept a gray one where that is safe
 	MaxWait    time.Duration // longest wait for a slot; 0 refuses at once
 }
 
+// mayTry reports whether the request may find out whether a target is gray.
+func (r Request) mayTry() bool { return r.Idempotent && !r.Careful }
+
 // Status is what a host node tells others about its target.
 type Status struct {
 	Target    string
@@ -213,7 +217,7 @@
 	if g.judge.Gray() {
 		return g.checkGray(req, now)
 	}
-	if req.Idempotent {
+	if req.mayTry() {
 		return None
 	}
 	if g.judge.Doubted(req.Zone, now) {
@@ -231,7 +235,7 @@
 func (g *Gate) checkGray(req Request, now time.Duration) Reason {
 	due := g.judge.TrialIn(now) == 0
 	switch {
-	case req.Idempotent && (req.Forced || (due && g.running < g.target.Slots)):
+	case req.Idempotent && req.Forced, req.mayTry() && due && g.running < g.target.Slots:
 		return None
 	case !req.Idempotent && req.Forced && due && g.judge.LacksTrials(now):
 		return None
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -221,3 +221,17 @@
 	c.add(time.Minute)
 	refused(t, g, r, IsUnproven)
 }
+
+// Guards against reads that fail twice: one that cannot be sent again must not
+// be the one that finds out that a target is gray.
+func TestCarefulReads(t *testing.T) {
+	g, c := testGate(2)
+	careful := read()
+	careful.Careful = true
+	refused(t, g, careful, IsUnproven)
+	mustReserve(t, g, read()).Release(Good)
+	mustReserve(t, g, careful).Release(Broken)
+	c.add(time.Second)
+	refused(t, g, careful, IsGray)
+	mustReserve(t, g, read())
+}
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -50,6 +50,7 @@
 	flagUnproven
 	flagForced
 	flagUntested
+	flagCareful
 )
 
 // message is the datagram by which a node tells its state.
@@ -108,7 +109,7 @@
 func encodeReserve(r admission.Request) wireReserve {
 	return wireReserve{
 		Target: r.Target, Service: r.Service, Zone: r.Zone, Priority: r.Priority,
-		Flags:   bit(r.Idempotent, flagIdempotent) | bit(r.Unproven, flagUnproven) | bit(r.Forced, flagForced) | bit(r.Untested, flagUntested),
+		Flags:   bit(r.Idempotent, flagIdempotent) | bit(r.Unproven, flagUnproven) | bit(r.Forced, flagForced) | bit(r.Untested, flagUntested) | bit(r.Careful, flagCareful),
 		MaxWait: r.MaxWait.Milliseconds(),
 	}
 }
@@ -117,8 +118,8 @@
 	return admission.Request{
 		Target: w.Target, Service: w.Service, Zone: w.Zone, Priority: w.Priority,
 		Idempotent: w.Flags&flagIdempotent != 0, Unproven: w.Flags&flagUnproven != 0, Forced: w.Flags&flagForced != 0,
-		Untested: w.Flags&flagUntested != 0,
-		MaxWait:  time.Duration(w.MaxWait) * time.Millisecond,
+		Untested: w.Flags&flagUntested != 0, Careful: w.Flags&flagCareful != 0,
+		MaxWait: time.Duration(w.MaxWait) * time.Millisecond,
 	}
 }
 
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -127,7 +127,8 @@
 		r := admission.Request{
 			Target: s.Target, Service: s.Service, Zone: "z", Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), Unproven: rapid.Bool().Draw(t, "unproven"),
-			Untested: rapid.Bool().Draw(t, "untested"), Forced: rapid.Bool().Draw(t, "forced"), MaxWait: millis("wait"),
+			Untested: rapid.Bool().Draw(t, "untested"), Forced: rapid.Bool().Draw(t, "forced"),
+			Careful: rapid.Bool().Draw(t, "careful"), MaxWait: millis("wait"),
 		}
 		var reserve wireReserve
 		if err := fromField(toField(encodeReserve(r)), &reserve); err != nil {
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -282,7 +282,7 @@
 func (c *call) reservation(cand placement.Candidate, round int) admission.Request {
 	r := admission.Request{
 		Target: cand.Target, Service: c.service, Zone: c.p.zone, Priority: c.route.Priority,
-		Idempotent: c.q.idempotent, Unproven: round > 0, Forced: cand.Last,
+		Idempotent: c.q.idempotent, Careful: c.mustBeCareful(), Unproven: round > 0, Forced: cand.Last,
 		Untested: c.held() > untestedAfter,
 	}
 	if round > 1 && cand.Held {
