--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -25,14 +25,14 @@
 	minRunTime = 60 * time.Millisecond
 	// holdPart is the part of a route's objective for which a request waits for
 	// a target. Under overload, a longer wait only makes more answers late.
-	holdPart = 0.5
+	holdPart = 0.3
 	// untestedAfter is the part of a route's objective after which work that must
 	// not repeat goes to a target that has not answered yet. By then idempotent
 	// work has tested most targets.
 	untestedAfter = 0.2
 	// forceAfter is the part of a route's objective after which a request is
 	// sent to a gray target rather than not at all.
-	forceAfter = 0.4
+	forceAfter = 0.2
 )
 
 // placer finds a target for each request and repeats what may be repeated.
