Avoid lost hosts sooner

A reservation now waits 120 ms, and a host that is also silent is avoided for 4 s or until it is heard.

--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -18,8 +18,9 @@
 const (
 	// reserveTimeout is how long a host node may take to answer a reservation
 	// beyond the wait for a slot. It exceeds a round trip between zones plus a
-	// pause of a throttled process on both sides.
-	reserveTimeout = 250 * time.Millisecond
+	// pause of a throttled process, which is up to 100 ms. A request that waits
+	// for a host that is down loses this much of its time.
+	reserveTimeout = 120 * time.Millisecond
 	// answerGrace is how long after the deadline of a request its host node may
 	// still answer.
 	answerGrace = 50 * time.Millisecond
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -139,6 +139,25 @@
 	}
 }
 
+// Guards against requests that each lose time to a host that is down, and
+// against a host that is avoided although it is back.
+func TestLostHost(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"lost", "z1"}, good(5, 0))
+	v.Update(Host{"far", "z2"}, good(5, 4))
+	v.now += v.cfg.SilentAfter + 1
+	v.Update(Host{"far", "z2"}, good(5, 4))
+	v.PathFailed("lost")
+	v.now += v.cfg.MaxBackoff - 1
+	if got := v.addrs(Work{}); got[0] != "far" {
+		t.Errorf("order %v during the backoff from a silent host", got)
+	}
+	v.Update(Host{"lost", "z1"}, good(5, 0))
+	if got := v.addrs(Work{}); got[0] != "lost" {
+		t.Errorf("order %v after the host is back", got)
+	}
+}
+
 // Guards against a host that is asked twice, left out, or asked although it was
 // tried, is leaving, or belongs to another service now.
 func TestOrderIsComplete(t *testing.T) {
--- a/placement/view.go
+++ b/placement/view.go
@@ -23,6 +23,7 @@
 	TrialChance       float64 // chance that an idempotent request asks a gray target whose trial is due
 	LinkBackoff       time.Duration
 	MaxBackoff        time.Duration
+	SilentAfter       time.Duration // a host that was silent for longer and does not answer counts as down
 	StaleAfter        time.Duration // a host that was silent for longer is asked last
 	RefusalHolds      time.Duration // how long after a refusal a host in the own zone is not asked again
 	FarHolds          time.Duration // the same for a host in another zone, where asking is charged for
@@ -34,7 +35,7 @@
 		Zone: zone, Self: self,
 		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
 		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
-		StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 150 * time.Millisecond,
+		SilentAfter: 1500 * time.Millisecond, StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 150 * time.Millisecond,
 	}
 }
 
@@ -91,9 +92,13 @@
 			v.byService[s.Service] = append(v.byService[s.Service], known)
 		}
 	}
+	now := v.now()
+	if now-known.heard > v.cfg.SilentAfter {
+		known.failures, known.avoid = 0, 0 // it is back
+	}
 	known.Host = h
 	known.status = s
-	known.at = v.now()
+	known.at = now
 	known.heard = known.at
 }
 
@@ -154,8 +159,13 @@
 		return
 	}
 	h.failures++
-	wait := v.cfg.LinkBackoff << min(h.failures-1, 8)
-	h.avoid = v.now() + min(wait, v.cfg.MaxBackoff)
+	now := v.now()
+	wait := min(v.cfg.LinkBackoff<<min(h.failures-1, 8), v.cfg.MaxBackoff)
+	if now-h.heard > v.cfg.SilentAfter {
+		// The host is down or cut off, not just slow to answer.
+		wait = v.cfg.MaxBackoff
+	}
+	h.avoid = now + wait
 }
 
 // PathWorked records an answer of the host.
