Keep notices of gray targets in the zone and bound datagrams between zones

Notices between zones now tell only phase, target and stop; configurations are announced to all by their readers only; datagrams between zones are at most 15 a second for each node.

--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -77,7 +77,7 @@
 	for _, n := range nodes {
 		_ = n.SetConfig([]byte("1"), "test")
 		n.SetReader(true)
-		n.peers.changed()
+		n.peers.changed(allZones)
 	}
 	count := func() int {
 		readers := 0
@@ -92,7 +92,7 @@
 	for _, n := range nodes {
 		if n.ShouldRead() {
 			n.SetReader(false) // as when it cannot reach the source
-			n.peers.changed()
+			n.peers.changed(allZones)
 		}
 	}
 	eventually(t, "others read as well", func() bool { return count() > readersPerZone })
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -55,6 +55,7 @@
 	targetAddr atomic.Pointer[string]
 	service    atomic.Pointer[string]
 	policy     atomic.Pointer[RetryPolicy]
+	told       atomic.Pointer[phaseKey]
 	reader     atomic.Bool
 	stopping   atomic.Bool
 	drained    atomic.Bool // no caller is expected any more
@@ -77,7 +78,7 @@
 	n.view = placement.NewView(placement.DefaultConfig(cfg.Nodes, cfg.Zone), n.now, cfg.Seed)
 	n.peers = &peers{
 		now: n.now, state: n.state, view: n.view, log: n.log, metrics: n.metrics, newer: n.fetchConfig,
-		byGossip: map[netip.AddrPort]*peer{}, notice: make(chan struct{}, 1),
+		byGossip: map[netip.AddrPort]*peer{}, notice: make(chan reach, noticeQueue),
 	}
 	n.buildPath()
 	return n
@@ -187,9 +188,26 @@
 	s := n.host.status()
 	n.log.targetStatus(s)
 	n.view.Update(placement.Host{Addr: n.cfg.Nodes, Zone: n.cfg.Zone}, s)
-	n.peers.changed()
+	// A target that turns gray or returns matters in its own zone. Others learn
+	// of it by the next interval or by a refusal.
+	key := phaseKey{s.Target, s.Service, s.Phase, s.Stopping}
+	if old := n.told.Swap(&key); old == nil || *old != key {
+		n.peers.changed(allZones)
+		return
+	}
+	n.peers.changed(ownZone)
+}
+
+// phaseKey is what every node should know of a target at once.
+type phaseKey struct {
+	target, service string
+	phase           admission.Phase
+	stopping        bool
 }
 
+// noticeQueue bounds the notices that wait to be sent.
+const noticeQueue = 2
+
 // learned takes the status that a host node sent with an answer.
 func (n *Node) learned(addr string, s admission.Status) { n.view.Refresh(addr, s) }
 
@@ -234,7 +252,11 @@
 	n.config.Store(&configInForce{c, raw})
 	n.callers.setLimits(c.Limits)
 	n.log.configInForce(c.Version, was, c.Routes(), source)
-	n.peers.changed()
+	if n.reader.Load() {
+		n.peers.changed(allZones)
+	} else {
+		n.peers.changed(ownZone)
+	}
 	return nil
 }
 
@@ -309,7 +331,6 @@
 // before, and lets what is in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
-	n.peers.changed()
 	wait(ctx, time.Duration(targetPart*float64(settle)))
 	n.gate.Stop()
 	wait(ctx, settle-time.Duration(targetPart*float64(settle)))
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -18,6 +18,9 @@
 	// change stays unknown; traffic between zones is charged for.
 	nearInterval = time.Second
 	farInterval  = 2 * time.Second
+	// farRate bounds the datagrams a second to nodes in other availability zones,
+	// so that a node's traffic between zones does not grow with the fleet.
+	farRate = 15
 	// gossipTick is the resolution of the intervals.
 	gossipTick = 250 * time.Millisecond
 	// repeatAfter is when a notice of a change is sent once more in the own
@@ -25,8 +28,10 @@
 	repeatAfter = 50 * time.Millisecond
 	// silentInterval separates the datagrams to a node that does not answer.
 	silentInterval = 5 * time.Second
-	// silentAfter is when a node counts as silent.
-	silentAfter = 5 * time.Second
+	// silentAfter is when a node counts as silent, or silentIntervals times the
+	// interval between its datagrams if that is longer.
+	silentAfter     = 5 * time.Second
+	silentIntervals = 3
 	// forgetAfter is when a silent node is no longer known.
 	forgetAfter = 2 * time.Minute
 	// readerAlive is how recently a node must have said that it reads the
@@ -62,9 +67,17 @@
 	byGossip map[netip.AddrPort]*peer
 	sequence uint64
 	most     int // most nodes known at any time
-	notice   chan struct{}
+	notice   chan reach
 }
 
+// reach tells which nodes should learn of a change at once.
+type reach uint8
+
+const (
+	ownZone  reach = iota // the nodes that use this node's target most
+	allZones              // every node
+)
+
 // run receives and sends until ctx ends.
 func (p *peers) run(ctx context.Context) {
 	go p.receive()
@@ -76,23 +89,23 @@
 		case <-ctx.Done():
 			p.conn.Close()
 			return
-		case <-p.notice:
-			p.broadcast(false)
+		case to := <-p.notice:
+			p.broadcast(to)
 			repeat = time.After(repeatAfter)
 		case <-repeat:
 			repeat = nil
-			p.broadcast(true)
+			p.broadcast(ownZone)
 		case <-tick.C:
 			p.sendDue()
 		}
 	}
 }
 
-// changed makes the node tell its state to all others at once.
-func (p *peers) changed() {
+// changed makes the node tell its state to others at once.
+func (p *peers) changed(to reach) {
 	select {
-	case p.notice <- struct{}{}:
-	default: // a notice is already due
+	case p.notice <- to:
+	default: // notices are due already; intervals bring what they miss
 	}
 }
 
@@ -120,15 +133,14 @@
 	return q
 }
 
-// broadcast sends the state to all nodes, or to those of the own zone, which
-// use the target most.
-func (p *peers) broadcast(ownZone bool) {
+// broadcast sends the state to the nodes within reach.
+func (p *peers) broadcast(within reach) {
 	zone := p.state().Zone
 	p.mu.Lock()
 	to := make([]netip.AddrPort, 0, len(p.byGossip))
 	now := p.now()
 	for _, q := range p.byGossip {
-		if !q.silent && (!ownZone || q.msg.Zone == zone) {
+		if !q.silent && (within == allZones || q.msg.Zone == zone) {
 			q.sent = now
 			to = append(to, q.gossip)
 		}
@@ -141,10 +153,18 @@
 	p.mu.Lock()
 	now := p.now()
 	zone := p.state().Zone
+	far := p.farInterval(zone)
 	var due, hello []netip.AddrPort
 	for gossip, q := range p.byGossip {
-		p.age(gossip, q, now)
-		if now-q.sent < interval(q, zone)-gossipTick/2 {
+		every := nearInterval
+		if q.known && q.msg.Zone != zone {
+			every = far
+		}
+		p.age(gossip, q, now, max(silentAfter, silentIntervals*every))
+		if q.silent {
+			every = max(every, silentInterval)
+		}
+		if now-q.sent < every-gossipTick/2 {
 			continue
 		}
 		q.sent = now
@@ -159,20 +179,21 @@
 	p.send(hello, flagHello)
 }
 
-func interval(q *peer, zone string) time.Duration {
-	switch {
-	case q.silent:
-		return silentInterval
-	case q.known && q.msg.Zone != zone:
-		return farInterval
+// farInterval returns the time between datagrams to a node in another zone.
+func (p *peers) farInterval(zone string) time.Duration {
+	far := 0
+	for _, q := range p.byGossip {
+		if q.known && q.msg.Zone != zone {
+			far++
+		}
 	}
-	return nearInterval
+	return max(farInterval, time.Duration(far)*time.Second/farRate)
 }
 
 // age marks a node silent, and forgets it after a long silence.
-func (p *peers) age(gossip netip.AddrPort, q *peer, now time.Duration) {
+func (p *peers) age(gossip netip.AddrPort, q *peer, now, limit time.Duration) {
 	silent := now - q.heard
-	if silent > silentAfter && !q.silent {
+	if silent > limit && !q.silent {
 		q.silent = true
 		p.log.peer(gossip.String(), q.msg.Zone, "node is silent", silent)
 	}
