--- /dev/null
+++ b/mesh/metrics_test.go
@@ -0,0 +1,48 @@
+package mesh
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"hyssopbridge/admission"
+)
+
+// Guards against metrics that the operators' page lacks or that no longer exist,
+// and against text that a collector cannot read.
+func TestMetricsPage(t *testing.T) {
+	m := newMetrics()
+	m.request(nil, nil, time.Millisecond)
+	m.reservation(admission.IsBusy)
+	m.target(admission.Good, time.Millisecond)
+	m.count("mesh_datagrams_total.invalid")
+	var out bytes.Buffer
+	m.write(&out)
+	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
+	var served []string
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		parts := line.FindStringSubmatch(text)
+		if parts == nil {
+			t.Fatalf("line %q", text)
+		}
+		served = append(served, parts[1])
+	}
+	page, err := os.ReadFile("../docs/METRICS-PLATFORM.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var documented []string
+	for _, name := range regexp.MustCompile("(?m)^\\| `([a-z_]+)").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, name[1])
+	}
+	slices.Sort(served)
+	served = slices.Compact(served)
+	slices.Sort(documented)
+	if !slices.Equal(served, documented) {
+		t.Errorf("served %v, documented %v", served, documented)
+	}
+}
