Do not promise "not run" after an attempt that may have run

Cause: a read whose first attempt was reset and whose second was refused ended with the second attempt's proof, so the answer was 503 although the first may have run. Ruled out for work that must not repeat: it has one attempt after which nothing is tried. The new test failed before the change with status 503.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -58,7 +58,6 @@
 	told       atomic.Pointer[phaseKey]
 	reader     atomic.Bool
 	stopping   atomic.Bool
-	drained    atomic.Bool // no caller is expected any more
 	cancel     context.CancelFunc
 }
 
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// Guards against a refusal that promises "not run" after an earlier attempt may
+// have run: the read is reset by one target and refused by the other.
+func TestRefusalAfterAttempt(t *testing.T) {
+	a, b := startTarget(t, "a"), startTarget(t, "b")
+	na, nb := startNode(t, a), startNode(t, b)
+	connect(t, na, nb)
+	for _, n := range []*Node{na, nb} {
+		_ = n.SetConfig([]byte("1 400"), "test")
+		prove(t, n, "prove")
+	}
+	var mu sync.Mutex
+	ran := false
+	script := func(w io.Writer, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ran {
+			ran = true
+			return false
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	a.set(script)
+	b.set(script)
+	got := send(t, na, "/read/1", "x")
+	if got.status == http.StatusServiceUnavailable || got.header.Get(headerRan) == "no" {
+		t.Errorf("status %d, ran %q after an attempt that may have run", got.status, got.header.Get(headerRan))
+	}
+}
+
 // cutShort promises more bytes than it sends.
 func cutShort(w io.Writer, r *http.Request) bool {
 	fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: 100\r\n\r\nshort", r.Header.Get("X-Id"))
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -83,6 +83,7 @@
 		}
 		a, err := c.run(s)
 		if err == nil && !c.wantsAnother(a) {
+			c.keepFallback(nil)
 			return a, nil
 		}
 		if err == nil {
@@ -92,20 +93,25 @@
 		}
 		last = asResult(err)
 		if !c.mayRepeat(last) {
-			return nil, last
+			return c.giveUp(last, last)
 		}
 	}
 }
 
-// giveUp ends a request for which no further target was found.
+// giveUp ends a request for which no further target was found. Proof that the
+// newest attempt was not run says nothing about earlier ones.
 func (c *call) giveUp(last *resultcode.Error, placing error) (*answer, error) {
 	if c.fallback != nil {
 		return c.fallback, nil
 	}
-	if len(c.tried) > 0 && last != nil {
-		return nil, last
+	if last == nil || len(c.tried) == 0 {
+		return nil, placing
 	}
-	return nil, placing
+	res := *last
+	if res.Ran == resultcode.RanNo {
+		res.Ran = resultcode.RanUnknown
+	}
+	return nil, &res
 }
 
 func (c *call) keepFallback(a *answer) {
