Give each listener of a test node an address of its own

Cause, from its log: two listeners of one node got the same free port, so the node refused its settings and the home group had no majority after the kill. Ruled out: lost leases or slow successor groups, since the node had never started.

--- a/cmd/hyssopbridge/fixture_test.go
+++ b/cmd/hyssopbridge/fixture_test.go
@@ -66,6 +66,7 @@
 	logS    *httptest.Server
 	nodes   []*process
 	client  *http.Client
+	taken   map[string]bool // addresses that address returned
 }
 
 // process is one node.
@@ -98,14 +99,37 @@
 	return f, targets
 }
 
-// address returns an unused address of node i.
+// address returns an unused address of node i that it has not returned before.
 func (f *fixture) address(i int) string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", f.network, 10+i))
-	if err != nil {
-		f.t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", f.network, 10+i))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		addr := l.Addr().String()
+		l.Close()
+		if !f.taken[addr] {
+			if f.taken == nil {
+				f.taken = map[string]bool{}
+			}
+			f.taken[addr] = true
+			return addr
+		}
+	}
+}
+
+// Guards against two listeners of one node with the same address: the node then
+// refuses its settings, and tests of a majority fail at random.
+func TestAddressesAreDistinct(t *testing.T) {
+	f := &fixture{t: t, network: networks.Add(1)}
+	seen := map[string]bool{}
+	for range 2000 {
+		addr := f.address(0)
+		if seen[addr] {
+			t.Fatalf("address %s was given out twice", addr)
+		}
+		seen[addr] = true
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func (f *fixture) controlAddress(i int) string {
