Return gray targets sooner and try them before refusing reads

Three successes had to end, each a read that runs for 0.4 s, trials came only from reads of the own zone, and half of all idempotent requests were barred from trials because the retry budget of the called service was spent.

Ruled out: slow detection. A gray target resets a request after 1 ms and turns gray at the first one.

Change: a trial that is open for three times the time of the failures counts as a success. The start of a return is announced in the own zone. A trial that is overdue gets the next request, after 1 s also from other zones. A read asks gray targets of its zone before it is refused. Budget margin 0.8 instead of 0.9.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -85,15 +85,19 @@
 	Phase     Phase
 	Stopping  bool
 	Gray      bool
+	Returning bool // gray, but the newest trial succeeded
 	Cold      bool
 	Slots     int
 	Running   int
 	Waiting   int
 	ProofLeft time.Duration
 	TrialIn   time.Duration // meaningful while Gray
-	Calls     float64       // requests that the target makes of its own, for each idempotent one that it runs, at most
+	Calls     float64       // requests that the target makes of its own in a second of running idempotent ones, at most; CallsUnknown if it has run too few
 }
 
+// CallsUnknown is the value of Status.Calls before the target has run enough.
+const CallsUnknown = -1
+
 // reservationTTL is how long a slot is held for a reservation that is not used.
 // It exceeds a round trip between zones plus a pause of a throttled process,
 // which is up to 100 ms on each side.
@@ -237,6 +241,8 @@
 	switch {
 	case req.Idempotent && req.Forced, req.mayTry() && due && g.running < g.target.Slots:
 		return None
+	case !req.Idempotent && req.Forced && g.judge.NearReturn():
+		return None
 	case !req.Idempotent && req.Forced && due && g.judge.LacksTrials(now):
 		return None
 	}
@@ -347,7 +353,7 @@
 	now := g.now()
 	return Status{
 		Target: g.target.ID, Service: g.target.Service, Phase: g.target.Phase, Stopping: g.stopping,
-		Gray: g.judge.Gray(), Cold: now < g.coldUntil, Slots: g.target.Slots,
+		Gray: g.judge.Gray(), Returning: g.judge.Returning(), Cold: now < g.coldUntil, Slots: g.target.Slots,
 		Running: g.running, Waiting: len(g.waiters),
 		ProofLeft: g.judge.ProofLeft(now), TrialIn: g.judge.TrialIn(now),
 	}
--- a/admission/judge.go
+++ b/admission/judge.go
@@ -26,6 +26,8 @@
 	OrderTrial     time.Duration // time without a trial after which work that must not repeat may be one
 	ZoneDoubt      time.Duration // how long a failure for one caller zone holds after the target returned
 	FirstTrialWait time.Duration // from an error answer to the first trial
+	SurvivalFactor int           // a trial open for this many times the failure time has survived
+	SurvivalMargin time.Duration // added to it
 }
 
 // DefaultJudge returns the constants for targets that answer within about half
@@ -33,7 +35,7 @@
 func DefaultJudge() JudgeConfig {
 	return JudgeConfig{
 		TrialInterval:  250 * time.Millisecond,
-		TrialMax:       500 * time.Millisecond,
+		TrialMax:       600 * time.Millisecond,
 		TrialTimeout:   time.Second,
 		AfterBroken:    3,
 		AfterError:     1,
@@ -42,6 +44,8 @@
 		OrderTrial:     2 * time.Second,
 		ZoneDoubt:      3 * time.Second,
 		FirstTrialWait: 30 * time.Millisecond,
+		SurvivalFactor: 3,
+		SurvivalMargin: 20 * time.Millisecond,
 	}
 }
 
@@ -60,6 +64,7 @@
 	soft       int // error answers and timeouts since the newest success
 	trials     int // open trials
 	openedAt   time.Duration
+	failAfter  time.Duration            // longest time in which a request failed in this gray phase
 	zones      map[string]time.Duration // caller zone -> end of its newest failure, until a success
 }
 
@@ -71,6 +76,12 @@
 // Gray reports whether the target takes no work but trials.
 func (j *Judge) Gray() bool { return j.need > 0 }
 
+// Returning reports whether the newest trial of a gray target succeeded.
+func (j *Judge) Returning() bool { return j.need > 0 && j.recovering }
+
+// NearReturn reports whether one more success ends the gray phase.
+func (j *Judge) NearReturn() bool { return j.need == 1 && j.recovering }
+
 // Doubted reports whether requests from the zone failed and none has succeeded
 // since, although requests from other zones do.
 func (j *Judge) Doubted(zone string, now time.Duration) bool {
@@ -126,6 +137,9 @@
 // start and ended now. It reports whether the target turned gray or returned.
 func (j *Judge) Observe(e Evidence, zone string, start, now time.Duration) (changed bool) {
 	before := j.Gray()
+	if e != Good && e != Neutral {
+		j.noteFailureTime(now - start)
+	}
 	switch e {
 	case Good:
 		j.good(zone, start, now)
@@ -137,6 +151,41 @@
 	return before != j.Gray()
 }
 
+// noteFailureTime records how long a request took to fail.
+func (j *Judge) noteFailureTime(took time.Duration) {
+	if j.need == 0 {
+		j.failAfter = 0
+	}
+	j.failAfter = max(j.failAfter, took)
+}
+
+// SurvivalTime returns how long a trial must be open to count as a success
+// before its answer is complete. A target that resets requests does so at once,
+// so a trial that outlasts its failures by far shows that it has recovered.
+// ok is false if failures take too long to tell.
+func (j *Judge) SurvivalTime() (d time.Duration, ok bool) {
+	d = time.Duration(j.cfg.SurvivalFactor)*j.failAfter + j.cfg.SurvivalMargin
+	return d, j.need > 0 && d < j.cfg.TrialTimeout
+}
+
+// Survive records that a trial which started at start is still open after its
+// survival time. It reports whether that counts as a success.
+func (j *Judge) Survive(zone string, start, now time.Duration) bool {
+	if j.need == 0 || start < j.lastFail {
+		return false
+	}
+	j.EndTrial()
+	j.good(zone, start, now)
+	return true
+}
+
+// Confirm records the good end of a trial that Survive has counted already.
+func (j *Judge) Confirm(start, now time.Duration) {
+	if start >= j.lastFail {
+		j.proven, j.provenAt = true, now
+	}
+}
+
 // softFail counts a failure that healthy targets also have now and then.
 func (j *Judge) softFail(zone string, now time.Duration) {
 	j.soft++
--- /dev/null
+++ b/admission/return_test.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// Guards against gray phases that outlast the fault by the run time of three
+// requests: a trial that is open for much longer than its failures took shows
+// that the target no longer resets requests.
+func TestOpenTrialCountsAsSuccess(t *testing.T) {
+	j := NewJudge(DefaultJudge())
+	observe(j, Broken, 0, 2*ms)
+	now := 300 * ms
+	for i := range j.cfg.AfterBroken {
+		if !j.Gray() {
+			t.Fatalf("returned after %d trials", i)
+		}
+		wait, ok := j.SurvivalTime()
+		if !ok || wait <= 2*ms {
+			t.Fatalf("survival time %v, %v", wait, ok)
+		}
+		if in := j.TrialIn(now); in != 0 {
+			t.Fatalf("trial %d is due only in %v", i, in)
+		}
+		j.BeginTrial(now)
+		if !j.Survive("z", now, now+wait) {
+			t.Fatal("open trial does not count")
+		}
+		now += wait
+	}
+	if j.Gray() || !j.Proven(now) {
+		t.Errorf("gray %v, proven %v after all trials survived", j.Gray(), j.Proven(now))
+	}
+}
+
+// Guards against an early return of a target whose failures take long, such as
+// one that hangs: there an open request shows nothing.
+func TestSlowFailuresHaveNoSurvival(t *testing.T) {
+	j := NewJudge(DefaultJudge())
+	observe(j, Silent, 0, 900*ms)
+	observe(j, Silent, 0, 950*ms)
+	if wait, ok := j.SurvivalTime(); ok {
+		t.Errorf("survival time %v after failures that took 950 ms", wait)
+	}
+	good := NewJudge(DefaultJudge())
+	if _, ok := good.SurvivalTime(); ok {
+		t.Error("survival time of a target that is not gray")
+	}
+}
+
+// Guards against a trial from before the newest failure that ends the gray
+// phase, and against one trial that counts twice.
+func TestSurvivalCountsOnce(t *testing.T) {
+	j := NewJudge(DefaultJudge())
+	observe(j, Broken, 0, 2*ms)
+	j.BeginTrial(300 * ms)
+	observe(j, Broken, 310*ms, 312*ms)
+	if j.Survive("z", 300*ms, 400*ms) {
+		t.Error("a trial from before the failure counts")
+	}
+	j.EndTrial()
+
+	g, c := testGate(2)
+	mustReserve(t, g, order()).Release(Broken)
+	c.add(DefaultJudge().TrialInterval)
+	trial := mustReserve(t, g, read())
+	if why := trial.Use(); why != None {
+		t.Fatal(why)
+	}
+	c.add(100 * ms)
+	trial.survive()
+	need := g.judge.need
+	trial.Release(Good)
+	if g.judge.need != need || need != DefaultJudge().AfterBroken-1 || g.judge.trials != 0 {
+		t.Errorf("%d successes needed, then %d, %d trials open", need, g.judge.need, g.judge.trials)
+	}
+}
+
+// Guards against a target that fails again during a trial and counts as
+// recovered, because the trial had survived before.
+func TestFailureAfterSurvival(t *testing.T) {
+	g, c := testGate(2)
+	mustReserve(t, g, order()).Release(Broken)
+	c.add(DefaultJudge().TrialInterval)
+	trial := mustReserve(t, g, read())
+	trial.Use()
+	c.add(100 * ms)
+	trial.survive()
+	if !g.Status().Returning {
+		t.Error("not returning after a trial that survived")
+	}
+	trial.Release(Broken)
+	if s := g.Status(); s.Returning || !s.Gray || g.judge.need != DefaultJudge().AfterBroken {
+		t.Errorf("returning %v, gray %v, %d successes needed", s.Returning, s.Gray, g.judge.need)
+	}
+}
+
+// Guards against other nodes that learn only by chance that a gray target
+// began to return, so that the missing successes come late.
+func TestReturnIsAnnounced(t *testing.T) {
+	changes := 0
+	c := &clock{now: time.Second}
+	g := NewGate(c.get, DefaultJudge(), func() { changes++ })
+	g.SetTarget(Target{ID: "t", Service: "s", Slots: 2, Phase: Serving})
+	mustReserve(t, g, order()).Release(Broken)
+	c.add(DefaultJudge().TrialInterval)
+	before := changes
+	mustReserve(t, g, read()).Release(Good)
+	if changes != before+1 || !g.Status().Returning {
+		t.Errorf("%d announcements, returning %v", changes-before, g.Status().Returning)
+	}
+}
+
+// Guards against orders that are refused although the target needs a single
+// success more, and against orders that meet it before.
+func TestOrderNearReturn(t *testing.T) {
+	g, c := testGate(2)
+	mustReserve(t, g, order()).Release(Broken)
+	c.add(DefaultJudge().TrialInterval)
+	forced := order()
+	forced.Forced = true
+	for range DefaultJudge().AfterBroken - 1 {
+		refused(t, g, forced, IsGray)
+		mustReserve(t, g, read()).Release(Good)
+	}
+	if ticket, why := g.Reserve(context.Background(), forced); ticket == nil || !ticket.Trial() {
+		t.Errorf("order refused: %s", why)
+	}
+}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -18,6 +18,10 @@
 	start  time.Duration
 	expiry *time.Timer
 
+	// survival runs while a trial is open; it and survived are guarded by gate.mu.
+	survival *time.Timer
+	survived bool // counted as a success before its end
+
 	mu    sync.Mutex
 	state ticketState
 }
@@ -47,6 +51,9 @@
 		why = NoTarget
 	}
 	t.start = t.gate.now()
+	if wait, ok := t.judge.SurvivalTime(); t.trial && ok {
+		t.survival = time.AfterFunc(wait, t.survive)
+	}
 	t.gate.mu.Unlock()
 	if why != None {
 		t.Release(Neutral)
@@ -70,6 +77,26 @@
 	}
 }
 
+// survive counts an open trial as a success.
+func (t *Ticket) survive() {
+	t.mu.Lock()
+	open := t.state == used
+	t.mu.Unlock()
+	if !open {
+		return
+	}
+	g := t.gate
+	g.mu.Lock()
+	if t.judge == g.judge {
+		t.survived = t.judge.Survive(t.zone, t.start, g.now())
+	}
+	counted := t.survived
+	g.mu.Unlock()
+	if counted {
+		g.onChange()
+	}
+}
+
 // Release returns the slot and records what the request showed. Calls after the
 // first have no effect.
 func (t *Ticket) Release(e Evidence) {
@@ -83,10 +110,9 @@
 	g.mu.Lock()
 	now := g.now()
 	g.running--
-	if t.trial {
-		t.judge.EndTrial()
-	}
-	changed := t.judge.Observe(e, t.zone, t.start, now) && t.judge == g.judge
+	was := t.judge.Returning()
+	changed := g.observe(t, e, now) && t.judge == g.judge
+	began := !was && t.judge.Returning() && t.judge == g.judge
 	if e == Good {
 		g.hold += time.Duration(holdWeight * float64(now-t.start-g.hold))
 	}
@@ -95,7 +121,23 @@
 	}
 	g.dispatch()
 	g.mu.Unlock()
-	if changed {
+	if changed || began {
 		g.onChange()
 	}
 }
+
+// observe records the end of a request as evidence. It reports whether the
+// target turned gray or returned.
+func (g *Gate) observe(t *Ticket, e Evidence, now time.Duration) bool {
+	if t.survival != nil {
+		t.survival.Stop()
+	}
+	switch {
+	case t.survived && e == Good:
+		t.judge.Confirm(t.start, now)
+		return false
+	case t.trial && !t.survived:
+		t.judge.EndTrial()
+	}
+	return t.judge.Observe(e, t.zone, t.start, now)
+}
--- a/limits/budget.go
+++ b/limits/budget.go
@@ -15,9 +15,10 @@
 )
 
 // RetryBudget bounds the retries of one service at one entry node to a share
-// of its requests over 10 s, a tenth unless configured otherwise. The fractional part of the allowance is rounded
-// at random, anew in each window, instead of up: with a guaranteed minimum per
-// node, the fleet's retries would grow with the number of nodes.
+// of its requests over 10 s, a tenth unless configured otherwise. The
+// fractional part of the allowance is rounded at random, anew in each window,
+// instead of up: with a guaranteed minimum per node, the fleet's retries would
+// grow with the number of nodes.
 type RetryBudget struct {
 	mu       sync.Mutex
 	share    float64 // retries as a part of requests
--- a/mesh/budgets.go
+++ b/mesh/budgets.go
@@ -16,7 +16,7 @@
 // budgetMargin is the part of the fleet's allowance that nodes use. The rest
 // covers requests that are counted in another window than their retries, and
 // the random rounding of each node's allowance.
-const budgetMargin = 0.9
+const budgetMargin = 0.8
 
 // minFleet is the number of nodes that share the slack at least. A node that
 // knows few others must not take their part.
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -31,6 +31,7 @@
 	flagStopping = 1 << iota
 	flagGray
 	flagCold
+	flagReturning
 )
 
 // wireReserve is admission.Request between nodes. Times are in milliseconds.
@@ -85,7 +86,7 @@
 func encodeStatus(s admission.Status) wireStatus {
 	return wireStatus{
 		Target: s.Target, Service: s.Service, Phase: uint8(s.Phase),
-		Flags: bit(s.Stopping, flagStopping) | bit(s.Gray, flagGray) | bit(s.Cold, flagCold),
+		Flags: bit(s.Stopping, flagStopping) | bit(s.Gray, flagGray) | bit(s.Cold, flagCold) | bit(s.Returning, flagReturning),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		ProofLeft: s.ProofLeft.Milliseconds(), TrialIn: s.TrialIn.Milliseconds(),
 		Calls: int64(math.Round(s.Calls * 100)),
@@ -98,7 +99,7 @@
 	}
 	return admission.Status{
 		Target: w.Target, Service: w.Service, Phase: admission.Phase(w.Phase),
-		Stopping: w.Flags&flagStopping != 0, Gray: w.Flags&flagGray != 0, Cold: w.Flags&flagCold != 0,
+		Stopping: w.Flags&flagStopping != 0, Gray: w.Flags&flagGray != 0, Cold: w.Flags&flagCold != 0, Returning: w.Flags&flagReturning != 0,
 		Slots: w.Slots, Running: w.Running, Waiting: w.Waiting,
 		ProofLeft: time.Duration(w.ProofLeft) * time.Millisecond,
 		TrialIn:   time.Duration(w.TrialIn) * time.Millisecond,
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -111,7 +111,8 @@
 			Stopping: rapid.Bool().Draw(t, "stopping"), Gray: rapid.Bool().Draw(t, "gray"), Cold: rapid.Bool().Draw(t, "cold"),
 			Slots: rapid.IntRange(0, 10_000).Draw(t, "slots"), Running: rapid.IntRange(0, 10_000).Draw(t, "running"),
 			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), ProofLeft: millis("proof"), TrialIn: millis("trial"),
-			Calls: float64(rapid.IntRange(0, 800).Draw(t, "calls")) / 100,
+			Returning: rapid.Bool().Draw(t, "returning"),
+			Calls:     float64(rapid.IntRange(0, 800).Draw(t, "calls")) / 100,
 		}
 		var wire wireStatus
 		if err := fromField(toField(encodeStatus(s)), &wire); err != nil {
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -60,11 +60,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	x := exchange{client: h.client, headers: h.headers, addr: h.targetAddr(), target: r.Target, caller: q.header.Get(h.headers.Caller)}
-	if r.Idempotent {
-		h.calls.run()
-	}
 	start := time.Now()
 	a, evidence, err := x.do(ctx, q)
+	if r.Idempotent {
+		h.calls.run(time.Since(start))
+	}
 	h.metrics.target(evidence, time.Since(start))
 	if err != nil {
 		h.log.targetFailed(q.id, r, t.Trial(), evidence, err, time.Since(start))
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -16,6 +16,9 @@
 	// asksPerRound bounds the host nodes that a request asks before it looks
 	// at their status anew.
 	asksPerRound = 4
+	// lastResortAsks bounds the gray targets that a request asks before it is
+	// refused.
+	lastResortAsks = 2
 	// queueWait is the longest wait for a slot at one host node before the
 	// request looks for another.
 	queueWait = 200 * time.Millisecond
@@ -43,6 +46,7 @@
 	host    *host
 	remote  *remote
 	budgets *budgets
+	times   *runTimes
 	log     *journal
 	metrics *metrics
 }
@@ -71,6 +75,13 @@
 func (p *placer) serve(ctx context.Context, q *request, route *dynamic.Route, service string, start time.Time) (*answer, error) {
 	c := &call{p: p, ctx: ctx, q: q, route: route, service: service, start: start}
 	p.budgets.request(service)
+	if q.idempotent {
+		p.metrics.count("DEBUG.idem")
+		if !p.budgets.hasRoom(service, c.expectedCalls()) {
+			p.metrics.count("DEBUG.careful")
+			p.log.log.Info("DEBUG careful")
+		}
+	}
 	var last *resultcode.Error
 	for {
 		s, err := c.place()
@@ -147,7 +158,7 @@
 	if !c.q.idempotent {
 		return 0 // the first run of work that must not repeat
 	}
-	return c.p.view.Calls(c.service)
+	return c.p.view.Calls(c.service) * c.p.times.mean(c.route.Name).Seconds()
 }
 
 // held returns how long the request has been here, in parts of the objective.
@@ -159,9 +170,11 @@
 
 func (c *call) run(s placed) (*answer, error) {
 	c.p.view.Begin(s.addr)
+	start := time.Now()
 	a, err := s.run(c.ctx, c.q)
 	c.p.view.End(s.addr)
 	if err == nil {
+		c.p.times.observe(c.route.Name, time.Since(start))
 		c.arrivals++
 		c.tried = append(c.tried, s.addr)
 		c.p.view.PathWorked(s.addr)
@@ -197,6 +210,9 @@
 			return placed{}, c.ended()
 		}
 		if c.left() <= minRunTime || c.held() > holdPart {
+			if s, ok := c.lastResort(); ok {
+				return s, nil
+			}
 			return placed{}, notRun(resultcode.QueueFull, "no target took the request in time: %s", why)
 		}
 		if c.fallback != nil && round >= 2 {
@@ -244,12 +260,40 @@
 	return placed{}, why, false
 }
 
-// candidates returns the host nodes to ask in a round.
-func (c *call) candidates(round int) []placement.Candidate {
-	all := c.p.view.Order(placement.Work{
+// lastResort asks gray targets before a request is refused for want of room.
+// A request that may be repeated loses nothing there, its success may be what
+// the target lacks to return, and its first arrival needs no retry budget.
+func (c *call) lastResort() (placed, bool) {
+	if c.arrivals > 0 || c.left() <= minRunTime {
+		return placed{}, false
+	}
+	asks := 0
+	for _, cand := range c.order() {
+		if !cand.Last || cand.Far {
+			continue
+		}
+		if asks == lastResortAsks || c.ctx.Err() != nil {
+			break
+		}
+		asks++
+		if s, _, ok := c.reserve(cand, c.reservation(cand, 0)); ok {
+			return s, true
+		}
+	}
+	return placed{}, false
+}
+
+// order returns all host nodes of the service, best first.
+func (c *call) order() []placement.Candidate {
+	return c.p.view.Order(placement.Work{
 		Service: c.service, Idempotent: c.q.idempotent, Careful: c.mustBeCareful(),
 		Download: c.route.Download, Tried: c.tried,
 	})
+}
+
+// candidates returns the host nodes to ask in a round.
+func (c *call) candidates(round int) []placement.Candidate {
+	all := c.order()
 	if len(all) > 0 && all[0].Last {
 		// Gray targets are the last resort where no other is left.
 		if !c.mayForce() {
--- a/placement/order.go
+++ b/placement/order.go
@@ -26,6 +26,10 @@
 	score  float64
 }
 
+// trialScore puts a target whose trial is due before all others, and once more
+// for a target that is returning.
+const trialScore = -1
+
 // Scores that put a class of hosts behind all others.
 const (
 	behindRefused = 4
@@ -60,6 +64,21 @@
 	return out
 }
 
+// trialChance returns the chance that a request is a trial of a gray target
+// whose trial has been due for some time. Other availability zones help where
+// the target's own sends too few requests that may be trials.
+func (v *View) trialChance(h *host, due time.Duration) float64 {
+	switch {
+	case h.Zone != v.cfg.Zone && due < v.cfg.FarTrialAfter:
+		return 0
+	case h.Zone != v.cfg.Zone:
+		return v.cfg.FarTrialChance
+	case h.status.Returning:
+		return 1
+	}
+	return v.cfg.TrialChance + float64(due)/float64(v.cfg.FarTrialAfter)
+}
+
 func (v *View) rate(h *host, w Work, now time.Duration) Candidate {
 	s := &h.status
 	age := now - h.at
@@ -80,9 +99,12 @@
 	}
 	switch {
 	case s.Gray:
-		trialDue := w.Idempotent && !w.Careful && s.TrialIn <= age && now >= h.refused && h.Zone == v.cfg.Zone
-		if trialDue && v.rand.Float64() < v.cfg.TrialChance {
-			c.score = -1 + v.cfg.Spread*v.rand.Float64()
+		trialDue := w.Idempotent && !w.Careful && s.TrialIn <= age && now >= h.refused
+		if trialDue && v.rand.Float64() < v.trialChance(h, age-s.TrialIn) {
+			c.score = trialScore + v.cfg.Spread*v.rand.Float64()
+			if s.Returning {
+				c.score += trialScore
+			}
 		} else {
 			c.Last = true
 			c.score += behindGray
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -200,3 +200,59 @@
 		}
 	})
 }
+
+// Guards against gray targets that get no trial for seconds after they have
+// recovered, because few requests of their own zone may be trials: an overdue
+// trial is made by the next request, also of another zone.
+func TestOverdueTrials(t *testing.T) {
+	share := func(zone string, s admission.Status, due time.Duration) int {
+		v := newTestView()
+		v.Update(Host{"gray", zone}, s)
+		v.Update(Host{"good", "z1"}, good(5, 1))
+		v.now += due
+		n := 0
+		for range 200 {
+			if v.addrs(Work{Idempotent: true})[0] == "gray" {
+				n++
+			}
+		}
+		return n
+	}
+	returning := gray(0)
+	returning.Returning = true
+	for name, c := range map[string]struct {
+		zone     string
+		status   admission.Status
+		due      time.Duration
+		min, max int
+	}{
+		"just due":               {"z1", gray(0), 0, 60, 140},
+		"overdue":                {"z1", gray(0), time.Second, 200, 200},
+		"returning":              {"z1", returning, 0, 200, 200},
+		"other zone":             {"z2", gray(0), 0, 0, 0},
+		"overdue in other zone":  {"z2", gray(0), time.Second, 30, 100},
+		"not due in either zone": {"z1", gray(2 * time.Second), time.Second, 0, 0},
+	} {
+		if n := share(c.zone, c.status, c.due); n < c.min || n > c.max {
+			t.Errorf("%s: %d of 200 requests are trials, want %d to %d", name, n, c.min, c.max)
+		}
+	}
+}
+
+// Guards against retries in the first seconds that make more calls than the
+// budget of the called service has room for, because no host node knows yet
+// how many calls its target makes.
+func TestCallsBeforeFirstStatement(t *testing.T) {
+	v := newTestView()
+	s := good(5, 0)
+	s.Calls = admission.CallsUnknown
+	v.Update(Host{"a", "z1"}, s)
+	if got := v.Calls("s"); got != assumedCalls {
+		t.Errorf("%v calls before the first statement", got)
+	}
+	s.Calls = 0
+	v.Update(Host{"b", "z1"}, s)
+	if got := v.Calls("s"); got != 0 {
+		t.Errorf("%v calls of a service that makes none", got)
+	}
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -15,12 +15,14 @@
 	OtherZone float64 // added for a host in another availability zone
 	// OtherZoneDownload is OtherZone for requests with large answers.
 	OtherZoneDownload float64
-	SelfBonus         float64 // subtracted for the target on this node's own host
-	Unproven          float64 // added for non-idempotent work on a target without a recent success
-	Canary            float64 // subtracted for idempotent work on a target without a recent success
-	Cold              float64 // added for a target that has just started
-	Spread            float64 // range of the random part
-	TrialChance       float64 // chance that an idempotent request asks a gray target whose trial is due
+	SelfBonus         float64       // subtracted for the target on this node's own host
+	Unproven          float64       // added for non-idempotent work on a target without a recent success
+	Canary            float64       // subtracted for idempotent work on a target without a recent success
+	Cold              float64       // added for a target that has just started
+	Spread            float64       // range of the random part
+	TrialChance       float64       // chance that an idempotent request asks a gray target whose trial is due
+	FarTrialChance    float64       // the same for a target in another availability zone
+	FarTrialAfter     time.Duration // how long a trial must be due until other availability zones make it
 	LinkBackoff       time.Duration
 	MaxBackoff        time.Duration
 	SilentAfter       time.Duration // a host that was silent for longer and does not answer counts as down
@@ -33,7 +35,7 @@
 func DefaultConfig(self, zone string) Config {
 	return Config{
 		Zone: zone, Self: self,
-		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5,
+		OtherZone: 0.9, OtherZoneDownload: 3, SelfBonus: 0.1, Unproven: 1, Canary: 0.6, Cold: 0.4, Spread: 0.2, TrialChance: 0.5, FarTrialChance: 0.3, FarTrialAfter: time.Second,
 		LinkBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
 		SilentAfter: 1500 * time.Millisecond, StaleAfter: 4 * time.Second, RefusalHolds: 60 * time.Millisecond, FarHolds: 150 * time.Millisecond,
 	}
@@ -204,20 +206,25 @@
 	return n
 }
 
-// Calls returns how many requests a target of the service makes of its own for
-// each idempotent one that it runs, as the mean of what host nodes state.
+// assumedCalls is the rate that Calls returns while no host node has stated one.
+// It keeps retries of the first seconds within the budgets of services that are
+// called.
+const assumedCalls = 3.0
+
+// Calls returns how many requests a target of the service makes of its own in a
+// second of running idempotent ones, as the mean of what host nodes state.
 func (v *View) Calls(service string) float64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	sum, n := 0.0, 0
 	for _, h := range v.byService[service] {
-		if h.status.Calls > 0 {
+		if h.status.Calls >= 0 {
 			sum += h.status.Calls
 			n++
 		}
 	}
 	if n == 0 {
-		return 0
+		return assumedCalls
 	}
 	return sum / float64(n)
 }
