Probe suspects so that they can refute before they are declared dead

Cause of TestBrokenLinkKnownSeed: with a link cut both ways, a suspect learns of the suspicion only when a node happens to ping it; the rotation of seven nodes takes 3 s, the suspicion lasts 1.5 s, and with 5% loss the refutation was lost as well.

Change: about 16 nodes of the fleet probe a suspect at each probe interval, and a response, direct or through another node, restarts the suspicion.

Ruled out: a longer suspicion for all, which delays every real death.

--- a/membership/core.go
+++ b/membership/core.go
@@ -144,7 +144,7 @@
 	case PingRequest:
 		return c.onPingRequest(now, msg)
 	case IndirectAck:
-		c.onIndirectAck(msg)
+		c.onIndirectAck(now, msg)
 	case StateRequest:
 		return c.onStateRequest(now, msg)
 	case State:
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -11,6 +11,9 @@
 	faultProbeInterval = 5 * time.Second
 	maxFaultProbes     = 16
 	maxRelays          = 256
+	// suspectProbers is how many nodes of the fleet, on average, probe a suspect
+	// at each probe interval, so that it can refute although messages are lost.
+	suspectProbers = 16
 )
 
 // probing is the failure detection part of a Core.
@@ -65,12 +68,34 @@
 		return out
 	}
 	c.nextProbe = now + c.cfg.ProbeInterval
+	out = append(out, c.probeSuspects(now)...)
 	if id := c.nextInRotation(); id != "" {
 		out = append(out, c.startProbe(now, id))
 	}
 	return out
 }
 
+// probeSuspects gives suspects a chance to refute before they are declared
+// dead. The rotation alone reaches a suspect too late.
+func (c *Core) probeSuspects(now time.Duration) []Outgoing {
+	var out []Outgoing
+	for _, id := range c.suspects {
+		if c.rng.IntN(max(1, len(c.peers))) < suspectProbers {
+			out = append(out, c.startProbe(now, id))
+		}
+	}
+	return out
+}
+
+// heardFrom restarts the suspicion of a node that responded, directly or
+// through another node: only its own refutation ends the suspicion, and that
+// may still be on its way.
+func (c *Core) heardFrom(now time.Duration, id string) {
+	if m := c.members[id]; m != nil && m.life.status == Suspect {
+		m.since = now
+	}
+}
+
 func (c *Core) nextInRotation() string {
 	for range 2 {
 		for len(c.rotation) > 0 {
@@ -164,6 +189,7 @@
 	if m := c.members[msg.From.ID]; m != nil {
 		m.failed = false
 		c.clearFault(msg.From.ID)
+		c.heardFrom(now, msg.From.ID)
 	}
 	if p := c.probeOf(msg.Number); p != nil && p.target == msg.From.ID {
 		c.endProbe(p)
@@ -190,9 +216,10 @@
 	})}
 }
 
-func (c *Core) onIndirectAck(msg *Message) {
+func (c *Core) onIndirectAck(now time.Duration, msg *Message) {
 	if p := c.probeOf(msg.Number); p != nil && p.target == msg.Target {
 		p.reached = true
+		c.heardFrom(now, msg.Target)
 	}
 }
 
