Weigh truncated answers more and wait where a route may be at fault

Healthy targets do not cut answers off, so two from different nodes suffice with preference detection, and such an answer weighs up to 7 nats, ranked against the share of truncated answers of the service.

--- a/health/judge.go
+++ b/health/judge.go
@@ -89,7 +89,7 @@
 	}
 	items := c.items(now, t)
 	rest := c.unexplained(now, t, items)
-	if !c.enough(now, t, total, items, rest) {
+	if !c.enough(now, t, total, items, rest) || now-t.crossed < classSettle && c.mayBeClass(now, t, rest) {
 		return
 	}
 	c.condemn(now, t, total, rest)
@@ -121,7 +121,7 @@
 // not rest on a single node or zone. Shares of the total are compared: the
 // score is bounded and reduced by good answers, the bad requests are not.
 func (c *Core) enough(now time.Duration, t *target, total float64, all, rest []sample) bool {
-	if len(rest) < c.tuning.MinBad {
+	if len(rest) < c.minBad(rest) {
 		return false
 	}
 	h := c.tuning.Threshold
@@ -138,6 +138,62 @@
 	return len(c.zones.list) <= 1 || without(c.heaviest(rest, zoneOf)) >= need || c.uncontradicted(now, t, rest, zoneOf)
 }
 
+// minBad returns how many bad requests an ejection needs. An answer that is cut
+// off cannot come from a bad route or an overloaded observer.
+func (c *Core) minBad(rest []sample) int {
+	for i := range rest {
+		if rest[i].pending || rest[i].outcome != Truncated {
+			return c.tuning.MinBad
+		}
+	}
+	return min(c.tuning.MinBad, max(1, c.tuning.MinCut))
+}
+
+// mayBeClass reports whether a class may be at fault instead of the target: all
+// failed answers are of one class that also failed at another target, while
+// other classes got good answers here.
+func (c *Core) mayBeClass(now time.Duration, t *target, rest []sample) bool {
+	failed := -1
+	first := now
+	for i := range rest {
+		first = min(first, rest[i].start)
+		switch {
+		case rest[i].pending || rest[i].outcome == OK:
+		case failed >= 0 && failed != int(rest[i].class):
+			return false
+		default:
+			failed = int(rest[i].class)
+		}
+	}
+	return failed >= 0 && c.othersGood(t, failed, first) && c.failsElsewhere(now, t, failed)
+}
+
+// othersGood reports whether another class got a good answer from the target to
+// a request that started after first.
+func (c *Core) othersGood(t *target, class int, first time.Duration) bool {
+	for _, s := range t.good.since(c.scratch[:0], first) {
+		if int(s.class) != class && s.start >= first {
+			return true
+		}
+	}
+	return false
+}
+
+// failsElsewhere reports whether another target failed a request of the class.
+func (c *Core) failsElsewhere(now time.Duration, t *target, class int) bool {
+	for _, other := range c.order {
+		if other == t || other.ejected {
+			continue
+		}
+		for _, s := range other.bad.since(c.scratch[:0], now-faultWindow) {
+			if int(s.class) == class && s.outcome.failure() && s.outcome != Truncated {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // uncontradicted reports whether the evidence may rest on one node or zone,
 // because the others hardly use the target, as with routing that prefers the
 // own zone: they have no more good than bad requests there. A broken link gives
--- a/health/observe.go
+++ b/health/observe.go
@@ -78,7 +78,7 @@
 
 func (c *Core) answerLLR(r *request, o Outcome, ms float64) float64 {
 	if o.failure() {
-		return c.ref.failureLLR(r.class)
+		return c.ref.failureLLR(r.class, o)
 	}
 	return c.ref.latencyLLR(r.class, ms)
 }
--- a/health/reference.go
+++ b/health/reference.go
@@ -19,6 +19,9 @@
 	classPrior    = 20  // samples
 	maxFailLLR    = 5.5 // nats; above the bound of a slow answer, which noise produces more often
 	failShare     = 0.1 // share of failures in the alternative hypothesis
+	// maxCutLLR bounds the evidence of a truncated answer, in nats. Healthy
+	// targets hardly ever cut answers off, so it exceeds that of other failures.
+	maxCutLLR = 7
 )
 
 // reference is the pooled distribution of answers of all targets, per class.
@@ -28,6 +31,7 @@
 	tabulated time.Duration
 	samples   float64
 	failures  float64
+	cut       float64 // truncated answers
 }
 
 type classReference struct {
@@ -61,6 +65,9 @@
 	if o.failure() {
 		c.failures++
 		r.failures++
+		if o == Truncated {
+			r.cut++
+		}
 		return
 	}
 	c.bins[int(latencyBin(ms))]++
@@ -85,6 +92,7 @@
 	f := math.Exp2(-span.Seconds() / refHalfLife.Seconds())
 	r.samples *= f
 	r.failures *= f
+	r.cut *= f
 	for i := range r.classes {
 		c := &r.classes[i]
 		c.samples *= f
@@ -152,10 +160,14 @@
 }
 
 // failureLLR is the evidence of a failed answer.
-func (r *reference) failureLLR(class fleet.Class) float64 {
+func (r *reference) failureLLR(class fleet.Class, o Outcome) float64 {
 	c := &r.classes[class]
-	if !c.ready {
+	switch {
+	case !c.ready:
 		return 0
+	case o == Truncated:
+		share := (r.cut + 0.5) / (r.samples + 1)
+		return math.Max(c.failLLR, math.Min(math.Log(1-badShare+failShare/share), maxCutLLR))
 	}
 	return c.failLLR
 }
--- a/health/tuning.go
+++ b/health/tuning.go
@@ -21,21 +21,24 @@
 	Method    Method
 	Threshold float64 // nats for Sequential, bad requests for Windowed
 	MinBad    int     // bad requests needed before an ejection
+	MinCut    int     // the same where all of them are truncated answers
 }
 
 // TuningFor returns the tuning of a preference.
 func TuningFor(p manifest.Preference) Tuning {
 	if p == manifest.PreferDetection {
-		return Tuning{Threshold: detectionThreshold, MinBad: detectionMinBad}
+		return Tuning{Threshold: detectionThreshold, MinBad: detectionMinBad, MinCut: detectionMinCut}
 	}
-	return Tuning{Threshold: serviceThreshold, MinBad: serviceMinBad}
+	return Tuning{Threshold: serviceThreshold, MinBad: serviceMinBad, MinCut: serviceMinCut}
 }
 
 const (
 	detectionThreshold = 11.5 // nats
 	detectionMinBad    = 3
+	detectionMinCut    = 2    // truncated answers
 	serviceThreshold   = 18.0 // nats
 	serviceMinBad      = 5
+	serviceMinCut      = 5
 )
 
 const (
@@ -55,6 +58,7 @@
 	faultWindow = 3 * time.Second  // span in which node and class faults are looked for
 	burstWindow = 500 * time.Millisecond
 	settleTime  = 250 * time.Millisecond // wait while several targets turn bad at once
+	classSettle = 500 * time.Millisecond // wait while a class may be at fault
 	flagTime    = 2 * time.Second        // a node or class fault lasts this long after its last sign
 	activeTime  = 5 * time.Second
 )
--- a/replay/outcomes_test.go
+++ b/replay/outcomes_test.go
@@ -77,7 +77,7 @@
 
 // Guards against ejections for faults that are not the target's.
 func TestNoEjectionWithoutSickTarget(t *testing.T) {
-	scenarios := []string{"healthy", "noisy", "oneway", "cold", "idle", "service", "observer", "shed", "badroute"}
+	scenarios := []string{"healthy", "noisy", "oneway", "cold", "idle", "release", "service", "observer", "shed", "badroute"}
 	for _, scenario := range scenarios {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
@@ -92,6 +92,20 @@
 	}
 }
 
+// Guards against healthy targets of a small service that are ejected while a
+// release starts a third of them cold.
+func TestReleaseOfSmallService(t *testing.T) {
+	for seed := range uint64(20) {
+		tr, err := Generate(Params{Scenario: "release", Seed: seed + 1, Targets: 6, Nodes: 8, Zones: 3, Floor: 4, Rate: 5})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := Run(tr, manifest.PreferService); s.FalseEjections != 0 || s.FloorViolations != 0 {
+			t.Errorf("seed %d: %d floor violations, ejections %v", seed+1, s.FloorViolations, s.Ejections)
+		}
+	}
+}
+
 // Guards against withholding more than the cut pairs in a one-way partition,
 // and against not withholding them at all.
 func TestOneWayWithholdsThePairsOnly(t *testing.T) {
--- a/replay/scenarios.go
+++ b/replay/scenarios.go
@@ -17,6 +17,7 @@
 	coldLength    = 8 * time.Second
 	coldSlowdown  = 6.0
 	idleLength    = 8 * time.Second
+	releaseGap    = 2 * time.Second
 	correlated    = 9
 	noisySlow     = 0.04  // share of slow requests
 	noisyErrors   = 0.004 // share of failed requests
@@ -40,6 +41,7 @@
 	"oneway":     oneWay,
 	"cold":       coldStart,
 	"idle":       idleRestart,
+	"release":    release,
 	"correlated": correlatedSlow,
 	"service":    slowService,
 	"observer":   overloadedObserver,
@@ -174,14 +176,19 @@
 }
 
 func startAt(g *generator, from time.Duration, silent func(*request, time.Duration) bool) {
-	target := g.rng.IntN(g.p.Targets)
+	startTarget(g, g.rng.IntN(g.p.Targets), from, silent)
+}
+
+// startTarget has one target that starts cold and drops the requests that are
+// silent for it.
+func startTarget(g *generator, target int, from time.Duration, silent func(*request, time.Duration) bool) {
 	g.truth(from, target, Starting)
 	g.truth(from+coldLength, target, Healthy)
 	g.effect = func(_ *generator, r *request) {
 		if r.target != target {
 			return
 		}
-		r.drop = silent(r, from)
+		r.drop = r.drop || silent(r, from)
 		if r.within(from, coldLength) {
 			left := 1 - float64(r.at-from)/float64(coldLength)
 			r.ms *= math.Pow(coldSlowdown, left)
@@ -189,6 +196,22 @@
 	}
 }
 
+// release replaces a third of the targets one after the other; each starts cold.
+func release(g *generator) {
+	from, first := g.onset(), g.rng.IntN(g.p.Targets)
+	effects := make([]func(*generator, *request), max(1, g.p.Targets/3))
+	for i := range effects {
+		at := from + time.Duration(i)*releaseGap
+		startTarget(g, (first+i)%g.p.Targets, at, func(r *request, from time.Duration) bool { return r.at < from })
+		effects[i] = g.effect
+	}
+	g.effect = func(g *generator, r *request) {
+		for _, e := range effects {
+			e(g, r)
+		}
+	}
+}
+
 func correlatedSlow(g *generator) {
 	from := g.onset()
 	sick := map[int]bool{}
