--- a/mesh/node.go
+++ b/mesh/node.go
@@ -52,6 +52,7 @@
 	config     atomic.Pointer[configInForce]
 	configMu   sync.Mutex
 	fetching   atomic.Bool
+	deferred   atomic.Bool // a fetch from another availability zone waits for its delay
 	targetAddr atomic.Pointer[string]
 	service    atomic.Pointer[string]
 	policy     atomic.Pointer[RetryPolicy]
@@ -230,65 +231,6 @@
 	return nil
 }
 
-// SetConfig puts a configuration in force unless one at least as new is. The
-// error tells why it was refused.
-func (n *Node) SetConfig(raw []byte, source string) error {
-	c, err := n.cfg.Decode(raw)
-	if err != nil {
-		n.log.configRefused(0, source, err)
-		return err
-	}
-	n.configMu.Lock()
-	defer n.configMu.Unlock()
-	before := n.config.Load()
-	var was int64
-	if before != nil {
-		was = before.Version
-	}
-	if c.Version <= was {
-		return nil
-	}
-	n.config.Store(&configInForce{c, raw})
-	n.callers.setLimits(c.Limits)
-	n.log.configInForce(c.Version, was, c.Routes(), source)
-	if n.reader.Load() {
-		n.peers.changed(allZones)
-	} else {
-		n.peers.changed(ownZone)
-	}
-	return nil
-}
-
-// fetchConfig reads a newer configuration from a node. One read runs at a time.
-func (n *Node) fetchConfig(addr string, version int64) {
-	if !n.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer n.fetching.Store(false)
-		n.fetchFrom(append([]string{addr}, n.peers.holders(version)...))
-	}()
-}
-
-// maxFetches bounds the nodes that are asked for one version.
-const maxFetches = 3
-
-func (n *Node) fetchFrom(addrs []string) {
-	for i, addr := range addrs {
-		if i == maxFetches {
-			return
-		}
-		raw, err := n.remote.fetchConfig(context.Background(), addr)
-		if err == nil {
-			err = n.SetConfig(raw, addr)
-		}
-		if err == nil {
-			return
-		}
-		n.log.configRefused(0, addr, err)
-	}
-}
-
 // SetTarget replaces what is known of the target beside this node.
 func (n *Node) SetTarget(t admission.Target, addr string, restarted bool) {
 	n.targetAddr.Store(&addr)
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -61,7 +61,7 @@
 	log     *journal
 	metrics *metrics
 	// newer is called when a node has a newer configuration than this one.
-	newer func(addr string, version int64)
+	newer func(s versionSource)
 
 	mu       sync.Mutex
 	byGossip map[netip.AddrPort]*peer
@@ -282,7 +282,7 @@
 		p.send([]netip.AddrPort{from}, 0)
 	}
 	if msg.Version > p.state().Version {
-		p.newer(msg.Addr, msg.Version)
+		p.newer(versionSource{msg.Addr, msg.Version, msg.Zone == p.state().Zone})
 	}
 	return true
 }
@@ -321,13 +321,19 @@
 	return before < readersPerZone
 }
 
-// holders returns the addresses of nodes with at least the given
-// configuration version, those of the own zone first.
-func (p *peers) holders(version int64) []string {
+// versionSource is a node that has a version of the configuration.
+type versionSource struct {
+	addr    string
+	version int64
+	near    bool // in the own availability zone
+}
+
+// holders returns the addresses of nodes with at least the given configuration
+// version, in the own availability zone and in others.
+func (p *peers) holders(version int64) (near, far []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	zone := p.state().Zone
-	var near, far []string
 	for _, q := range p.byGossip {
 		switch {
 		case !q.known || q.silent || q.msg.Version < version:
@@ -337,5 +343,20 @@
 			far = append(far, q.msg.Addr)
 		}
 	}
-	return append(near, far...)
+	return near, far
+}
+
+// rankInZone returns the number of live nodes of the own availability zone with
+// a lower address.
+func (p *peers) rankInZone() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.state()
+	rank := 0
+	for _, q := range p.byGossip {
+		if q.known && !q.silent && q.msg.Zone == self.Zone && q.msg.Addr < self.Addr {
+			rank++
+		}
+	}
+	return rank
 }
