--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -1,10 +1,12 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	gometrics "github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
 	"hyssopbridge/admission"
@@ -98,6 +100,55 @@
 	eventually(t, "others read as well", func() bool { return count() > readersPerZone })
 }
 
+// Guards against reads of the configuration by more nodes than needed: with
+// readers in three zones, one in each is enough.
+func TestReadersOfManyZones(t *testing.T) {
+	var nodes []*Node
+	for i := range 6 {
+		nodes = append(nodes, startNodeIn(t, fmt.Sprint("z", i/2), nil))
+	}
+	connect(t, nodes...)
+	for _, n := range nodes {
+		n.SetReader(true)
+		n.peers.changed(allZones)
+	}
+	eventually(t, "one node of each zone reads", func() bool {
+		for i := 0; i < len(nodes); i += 2 {
+			if nodes[i].ShouldRead() == nodes[i+1].ShouldRead() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a configuration that crosses between zones once for each node,
+// and against a zone that stays behind because none of its nodes has it.
+func TestConfigFromOwnZone(t *testing.T) {
+	source := startNodeIn(t, "z0", nil)
+	a, b := startNodeIn(t, "z1", nil), startNodeIn(t, "z1", nil)
+	connect(t, source, a, b)
+	for _, n := range []*Node{source, a, b} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	source.SetReader(true)
+	if err := source.SetConfig([]byte("2"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the other zone has version 2", func() bool {
+		return a.Config().Version == 2 && b.Config().Version == 2
+	})
+	fetched := 0
+	for _, n := range []*Node{a, b} {
+		if c, ok := n.metrics.registry.Get(farReads).(gometrics.Counter); ok && c.Count() > 0 {
+			fetched++
+		}
+	}
+	if fetched != 1 {
+		t.Errorf("%d nodes read version 2 in the other zone, want 1", fetched)
+	}
+}
+
 // Guards against fields that are lost between nodes and datagrams that exceed
 // the bound.
 func TestCodec(t *testing.T) {
--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -46,6 +46,8 @@
 	farFetchStep = 100 * time.Millisecond
 	// farFetchMax bounds the wait.
 	farFetchMax = 850 * time.Millisecond
+	// farReads counts configurations that were read in another zone.
+	farReads = "mesh_config_far_reads_total"
 	// firstFetchDelay replaces the wait while the node has no configuration.
 	firstFetchDelay = 100 * time.Millisecond
 )
@@ -62,6 +64,7 @@
 	time.AfterFunc(n.farDelay(), func() {
 		n.deferred.Store(false)
 		if n.state().Version < s.version {
+			n.metrics.count(farReads)
 			n.fetchNow(s)
 		}
 	})
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -140,9 +140,14 @@
 
 // startNode starts a node with a target. A nil target gives a node without one.
 func startNode(t *testing.T, g *target) *Node {
+	t.Helper()
+	return startNodeIn(t, "z", g)
+}
+
+func startNodeIn(t *testing.T, zone string, g *target) *Node {
 	t.Helper()
 	n := New(Config{
-		Zone: "z", Callers: freeAddr(t), Nodes: freeAddr(t), Gossip: freeAddr(t), Headers: testHeaders,
+		Zone: zone, Callers: freeAddr(t), Nodes: freeAddr(t), Gossip: freeAddr(t), Headers: testHeaders,
 		Decode: decodeTest, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Seed: 1,
 	})
 	if err := n.Start(); err != nil {
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -20,6 +20,7 @@
 	m.reservation(admission.IsBusy)
 	m.target(admission.Good, time.Millisecond)
 	m.count("mesh_datagrams_total.invalid")
+	m.count(farReads)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -251,7 +251,7 @@
 func (n *Node) SetReader(on bool) { n.reader.Store(on) }
 
 // ShouldRead reports whether this node should read the configuration at its source.
-func (n *Node) ShouldRead() bool { return n.config.Load() == nil || n.peers.isReader() }
+func (n *Node) ShouldRead() bool { return n.peers.isReader() }
 
 // AddPeer makes another node known by its datagram address.
 func (n *Node) AddPeer(gossip netip.AddrPort) { n.peers.add(gossip) }
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -20,7 +20,7 @@
 	farInterval  = 2 * time.Second
 	// farRate bounds the datagrams a second to nodes in other availability zones,
 	// so that a node's traffic between zones does not grow with the fleet.
-	farRate = 15
+	farRate = 8
 	// gossipTick is the resolution of the intervals.
 	gossipTick = 250 * time.Millisecond
 	// repeatAfter is when a notice of a change is sent once more in the own
@@ -38,8 +38,10 @@
 	// configuration for others to rely on it.
 	readerAlive = 2500 * time.Millisecond
 	// readersPerZone read the configuration at its source; the others of the
-	// zone learn of it from them.
+	// zone learn of it from them. One is enough where nodes of manyZones zones
+	// read, since each tells all zones.
 	readersPerZone = 2
+	manyZones      = 3
 )
 
 type peer struct {
@@ -312,15 +314,32 @@
 	self := p.state()
 	now := p.now()
 	before := 0
+	reading := map[string]bool{self.Zone: true}
 	for _, q := range p.byGossip {
-		if q.known && q.msg.Zone == self.Zone && q.msg.Flags&flagReader != 0 &&
-			now-q.heard < readerAlive && q.msg.Addr < self.Addr {
+		if !q.known || q.msg.Flags&flagReader == 0 {
+			continue
+		}
+		reading[q.msg.Zone] = reading[q.msg.Zone] || !q.silent
+		if q.msg.Zone == self.Zone && now-q.heard < readerAlive && q.msg.Addr < self.Addr {
 			before++
 		}
 	}
+	if zones := countTrue(reading); zones >= manyZones {
+		return before == 0
+	}
 	return before < readersPerZone
 }
 
+func countTrue(m map[string]bool) int {
+	n := 0
+	for _, v := range m {
+		if v {
+			n++
+		}
+	}
+	return n
+}
+
 // versionSource is a node that has a version of the configuration.
 type versionSource struct {
 	addr    string
