--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -145,10 +145,15 @@
 }
 
 func startNodeIn(t *testing.T, zone string, g *target) *Node {
+	t.Helper()
+	return startNodeLogging(t, zone, g, discard.New())
+}
+
+func startNodeLogging(t *testing.T, zone string, g *target, h log.Handler) *Node {
 	t.Helper()
 	n := New(Config{
 		Zone: zone, Callers: freeAddr(t), Nodes: freeAddr(t), Gossip: freeAddr(t), Headers: testHeaders,
-		Decode: decodeTest, Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Seed: 1,
+		Decode: decodeTest, Log: &log.Logger{Handler: h, Level: log.InfoLevel}, Seed: 1,
 	})
 	if err := n.Start(); err != nil {
 		t.Fatal(err)
--- a/mesh/journal.go
+++ b/mesh/journal.go
@@ -33,6 +33,14 @@
 	}).Info("attempt failed")
 }
 
+// notSentAgain tells why a request that failed at a target got no other one.
+func (j *journal) notSentAgain(id, service string, why *resultcode.Error, tried int, left time.Duration) {
+	j.log.WithFields(log.Fields{
+		"request": id, "service": service, "code": int(why.Code), "targets_tried": tried,
+		"left_ms": left.Milliseconds(), "error": why.Error(),
+	}).Info("request not sent again")
+}
+
 func (j *journal) pathFailed(id, addr string, err error) {
 	j.log.WithFields(log.Fields{"request": id, "host": addr, "error": err.Error()}).Info("host node not reached")
 }
@@ -46,7 +54,7 @@
 
 func (j *journal) targetStatus(s admission.Status) {
 	j.log.WithFields(log.Fields{
-		"target": s.Target, "service": s.Service, "phase": s.Phase.String(), "gray": s.Gray,
+		"target": s.Target, "service": s.Service, "phase": s.Phase.String(), "gray": s.Gray, "returning": s.Returning,
 		"stopping": s.Stopping, "running": s.Running, "waiting": s.Waiting,
 	}).Info("target status changed")
 }
--- /dev/null
+++ b/mesh/journal_test.go
@@ -0,0 +1,32 @@
+package mesh
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/apex/log/handlers/memory"
+
+	"hyssopbridge/resultcode"
+)
+
+// Guards against a failed read whose log does not say why no other target got it.
+func TestLogSaysWhyNotSentAgain(t *testing.T) {
+	h := memory.New()
+	bad, good := startTarget(t, "bad"), startTarget(t, "good")
+	nb := startNodeLogging(t, "z", bad, h)
+	connect(t, nb, startNode(t, good))
+	_ = nb.SetConfig([]byte("1"), "test")
+	nb.SetRetryPolicy(RetryPolicy{})
+	bad.set(reset)
+	good.set(reset)
+	wantReply(t, send(t, nb, "/read/1", "r"), http.StatusBadGateway, "")
+	for _, e := range h.Entries {
+		if e.Message == "request not sent again" && e.Fields["request"] == "r" {
+			if e.Fields["code"] != int(resultcode.RetryBudgetSpent) {
+				t.Errorf("fields %v", e.Fields)
+			}
+			return
+		}
+	}
+	t.Error("no line")
+}
--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -112,6 +112,9 @@
 // giveUp ends a request for which no further target was found. Proof that the
 // newest attempt was not run says nothing about earlier ones.
 func (c *call) giveUp(last *resultcode.Error, placing error) (*answer, error) {
+	if c.arrivals > 0 && placing != error(last) {
+		c.p.log.notSentAgain(c.q.id, c.service, asResult(placing), len(c.tried), c.left())
+	}
 	if c.fallback != nil {
 		return c.fallback, nil
 	}
