--- a/demo/target.go
+++ b/demo/target.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hyssopbridge/internal/loop"
 )
 
 const (
@@ -72,16 +74,8 @@
 }
 
 func (t *target) keepAnnouncing(ctx context.Context) {
-	tick := time.NewTicker(announceInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			_ = t.announce()
-		}
-	}
+	// The next announcement follows soon, so a failed one needs no answer.
+	loop.Every(ctx, announceInterval, func() { _ = t.announce() })
 }
 
 // announcement is the body of an announcement to the node beside the target.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -15,6 +15,7 @@
 
 	"hyssopbridge/admission"
 	"hyssopbridge/config/dynamic"
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/placement"
 	"hyssopbridge/upstream"
 )
@@ -168,17 +169,10 @@
 
 // tidy closes idle connections.
 func (n *Node) tidy(ctx context.Context) {
-	tick := time.NewTicker(tidyInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			n.targets.CloseIdle(false)
-			n.remote.client.CloseIdle(false)
-		}
-	}
+	loop.Every(ctx, tidyInterval, func() {
+		n.targets.CloseIdle(false)
+		n.remote.client.CloseIdle(false)
+	})
 }
 
 const tidyInterval = 10 * time.Second
--- /dev/null
+++ b/mesh/zone.go
@@ -0,0 +1,75 @@
+package mesh
+
+// isReader reports whether this node should read the configuration at its
+// source: the nodes of the zone with the lowest addresses do.
+func (p *peers) isReader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.state()
+	now := p.now()
+	before := 0
+	reading := map[string]bool{self.Zone: true}
+	for _, q := range p.byGossip {
+		if !q.known || q.msg.Flags&flagReader == 0 {
+			continue
+		}
+		reading[q.msg.Zone] = reading[q.msg.Zone] || !q.silent
+		if q.msg.Zone == self.Zone && now-q.heard < readerAlive && q.msg.Addr < self.Addr {
+			before++
+		}
+	}
+	if zones := countTrue(reading); zones >= manyZones {
+		return before == 0
+	}
+	return before < readersPerZone
+}
+
+func countTrue(m map[string]bool) int {
+	n := 0
+	for _, v := range m {
+		if v {
+			n++
+		}
+	}
+	return n
+}
+
+// versionSource is a node that has a version of the configuration.
+type versionSource struct {
+	addr    string
+	version int64
+	near    bool // in the own availability zone
+}
+
+// holders returns the addresses of nodes with at least the given configuration
+// version, in the own availability zone and in others.
+func (p *peers) holders(version int64) (near, far []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	zone := p.state().Zone
+	for _, q := range p.byGossip {
+		switch {
+		case !q.known || q.silent || q.msg.Version < version:
+		case q.msg.Zone == zone:
+			near = append(near, q.msg.Addr)
+		default:
+			far = append(far, q.msg.Addr)
+		}
+	}
+	return near, far
+}
+
+// rankInZone returns the number of live nodes of the own availability zone with
+// a lower address.
+func (p *peers) rankInZone() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.state()
+	rank := 0
+	for _, q := range p.byGossip {
+		if q.known && !q.silent && q.msg.Zone == self.Zone && q.msg.Addr < self.Addr {
+			rank++
+		}
+	}
+	return rank
+}
--- a/node/detect.go
+++ b/node/detect.go
@@ -8,6 +8,7 @@
 	"hyssopbridge/config/manifest"
 	"hyssopbridge/fleet"
 	"hyssopbridge/health"
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/peer"
 )
 
@@ -70,7 +71,7 @@
 
 // runReports sends observations until ctx ends.
 func (d *detector) runReports(ctx context.Context) {
-	every(ctx, reportInterval, func() {
+	loop.Every(ctx, reportInterval, func() {
 		for service, v := range d.n.observer.take() {
 			d.route(ctx, service, v)
 		}
@@ -214,7 +215,7 @@
 
 // run ticks the cores until ctx ends.
 func (d *detector) run(ctx context.Context) {
-	every(ctx, healthTick, func() {
+	loop.Every(ctx, healthTick, func() {
 		for _, list := range d.step() {
 			d.n.lists.put(list)
 		}
--- a/node/lists.go
+++ b/node/lists.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hyssopbridge/fleet"
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/membership"
 	"hyssopbridge/peer"
 )
@@ -129,7 +130,7 @@
 
 // run compares lists with peers until ctx ends.
 func (l *lists) run(ctx context.Context) {
-	every(ctx, listRepair, func() { l.forward(&listMessage{Have: l.numbers()}, 1) })
+	loop.Every(ctx, listRepair, func() { l.forward(&listMessage{Have: l.numbers()}, 1) })
 }
 
 func (l *lists) numbers() []listNumber {
--- a/node/orders.go
+++ b/node/orders.go
@@ -7,6 +7,7 @@
 
 	"hyssopbridge/control"
 	"hyssopbridge/fleet"
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/lease"
 	"hyssopbridge/once"
 	"hyssopbridge/peer"
@@ -75,7 +76,7 @@
 
 // run drives the leases until ctx ends.
 func (o *orders) run(ctx context.Context) {
-	every(ctx, leaseTick, func() { o.step(ctx) })
+	loop.Every(ctx, leaseTick, func() { o.step(ctx) })
 }
 
 func (o *orders) step(ctx context.Context) {
--- a/node/rates.go
+++ b/node/rates.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/limits"
 	"hyssopbridge/peer"
 )
@@ -24,21 +25,12 @@
 
 // runRates sends the asks of the rate limiter to the owners of the keys.
 func (n *Node) runRates(ctx context.Context) {
-	tick := time.NewTicker(rateSweep)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			n.rates.Sweep(n.clock())
-		case <-n.rates.Wake():
-			sleep(ctx, rateGather)
-			for _, batch := range n.rates.Due(n.clock()) {
-				go n.askRates(ctx, batch)
-			}
+	loop.OnWake(ctx, rateSweep, func() { n.rates.Sweep(n.clock()) }, n.rates.Wake(), func() {
+		sleep(ctx, rateGather)
+		for _, batch := range n.rates.Due(n.clock()) {
+			go n.askRates(ctx, batch)
 		}
-	}
+	})
 }
 
 func (n *Node) askRates(ctx context.Context, batch limits.RateBatch) {
--- a/node/reconcile.go
+++ b/node/reconcile.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopbridge/fleet"
+	"hyssopbridge/internal/loop"
 	"hyssopbridge/lease"
 	"hyssopbridge/membership"
 )
@@ -53,18 +54,7 @@
 }
 
 func (r *reconciler) run(ctx context.Context) {
-	tick := time.NewTicker(reconcileTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.n.balancer.Refresh(r.n.clock())
-		case <-r.wake:
-			r.step()
-		}
-	}
+	loop.OnWake(ctx, reconcileTick, func() { r.n.balancer.Refresh(r.n.clock()) }, r.wake, r.step)
 }
 
 func (r *reconciler) step() {
--- /dev/null
+++ b/node/sleep.go
@@ -0,0 +1,16 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+// sleep waits for d; false means that ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -4,13 +4,11 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
-	"fmt"
-	"os"
 	"slices"
-	"sync"
-	"time"
 
 	"google.golang.org/grpc/credentials"
+
+	"hyssopbridge/internal/keyfiles"
 )
 
 // sessions is the number of TLS sessions kept for resumption, which saves the
@@ -26,68 +24,14 @@
 const NodeURI = "urn:hyssopbridge:node:"
 
 // keys holds the certificate files and reads them again when they change.
-type keys struct {
-	settings Settings
-
-	mu      sync.Mutex
-	checked time.Time
-	stamp   [3]fileStamp
-	cert    *tls.Certificate
-	pool    *x509.CertPool
-	failure error // of the last reload
-}
-
-type fileStamp struct {
-	modified time.Time
-	size     int64
-}
+type keys struct{ *keyfiles.Reloader }
 
 func newKeys(s Settings) (*keys, error) {
-	k := &keys{settings: s}
-	if err := k.load(); err != nil {
-		return nil, err
-	}
-	return k, nil
-}
-
-// current returns the newest usable certificate and authorities. While the
-// files are missing or do not match each other, the former ones stay in use.
-func (k *keys) current() (*tls.Certificate, *x509.CertPool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if time.Since(k.checked) >= k.settings.ReloadInterval {
-		k.failure = k.load()
-	}
-	return k.cert, k.pool
-}
-
-func (k *keys) load() error {
-	k.checked = time.Now()
-	var stamp [3]fileStamp
-	for i, name := range []string{k.settings.CertFile, k.settings.KeyFile, k.settings.CAFile} {
-		info, err := os.Stat(name)
-		if err != nil {
-			return fmt.Errorf("certificate file: %w", err)
-		}
-		stamp[i] = fileStamp{info.ModTime(), info.Size()}
-	}
-	if stamp == k.stamp {
-		return k.failure
-	}
-	cert, err := tls.LoadX509KeyPair(k.settings.CertFile, k.settings.KeyFile)
+	r, err := keyfiles.New(keyfiles.Files{Cert: s.CertFile, Key: s.KeyFile, CA: s.CAFile}, s.ReloadInterval)
 	if err != nil {
-		return fmt.Errorf("load certificate %s: %w", k.settings.CertFile, err)
-	}
-	pem, err := os.ReadFile(k.settings.CAFile)
-	if err != nil {
-		return fmt.Errorf("load authorities: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return fmt.Errorf("authorities file %s holds no certificate", k.settings.CAFile)
+		return nil, err
 	}
-	k.cert, k.pool, k.stamp = &cert, pool, stamp
-	return nil
+	return &keys{r}, nil
 }
 
 // reloadError returns the failure of the last reload, or nil.
@@ -95,9 +39,7 @@
 	if k == nil {
 		return nil
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.failure
+	return k.Err()
 }
 
 func (k *keys) serverCredentials() credentials.TransportCredentials {
@@ -105,7 +47,7 @@
 		MinVersion:       tls.VersionTLS13,
 		CurvePreferences: curves,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			cert, pool := k.current()
+			cert, pool := k.Current()
 			return &tls.Config{
 				MinVersion:       tls.VersionTLS13,
 				CurvePreferences: curves,
@@ -130,7 +72,7 @@
 		VerifyConnection:   k.verifyServer,
 		ClientSessionCache: tls.NewLRUClientSessionCache(sessions),
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := k.current()
+			cert, _ := k.Current()
 			return cert, nil
 		},
 	})
@@ -148,7 +90,7 @@
 	if len(cs.PeerCertificates) == 0 {
 		return errors.New("peer sent no certificate")
 	}
-	_, pool := k.current()
+	_, pool := k.Current()
 	opts := x509.VerifyOptions{
 		Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage},
 	}
