--- a/mesh/placer.go
+++ b/mesh/placer.go
@@ -47,13 +47,6 @@
 func (p *placer) serve(ctx context.Context, q *request, route *dynamic.Route, service string, start time.Time) (*answer, error) {
 	c := &call{p: p, ctx: ctx, q: q, route: route, service: service, start: start}
 	p.budgets.request(service)
-	if q.idempotent {
-		p.metrics.count("DEBUG.idem")
-		if !p.budgets.hasRoom(service, c.expectedCalls()) {
-			p.metrics.count("DEBUG.careful")
-			p.log.log.Info("DEBUG careful")
-		}
-	}
 	var last *resultcode.Error
 	for {
 		s, err := c.place()
