--- a/admission/return_test.go
+++ b/admission/return_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// Guards against a trial that counts twice because its survival time ends just
+// as its good answer is recorded, and against an end that frees another trial.
+func TestSurvivalAfterTheEnd(t *testing.T) {
+	g, c := testGate(2)
+	mustReserve(t, g, order()).Release(Broken)
+	c.add(DefaultJudge().TrialInterval)
+	trial := mustReserve(t, g, read())
+	trial.Use()
+	trial.Release(Good)
+	mustReserve(t, g, read())
+	trial.survive()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.judge.need != DefaultJudge().AfterBroken-1 || g.judge.trials != 1 {
+		t.Errorf("%d successes needed, %d trials open", g.judge.need, g.judge.trials)
+	}
+}
+
 // Guards against a target that fails again during a trial and counts as
 // recovered, because the trial had survived before.
 func TestFailureAfterSurvival(t *testing.T) {
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -77,17 +77,12 @@
 	}
 }
 
-// survive counts an open trial as a success.
+// survive counts an open trial as a success. The state is read under the lock
+// of the gate, so that a trial which ends just now counts once.
 func (t *Ticket) survive() {
-	t.mu.Lock()
-	open := t.state == used
-	t.mu.Unlock()
-	if !open {
-		return
-	}
 	g := t.gate
 	g.mu.Lock()
-	if t.judge == g.judge {
+	if t.isOpen() && t.judge == g.judge {
 		t.survived = t.judge.Survive(t.zone, t.start, g.now())
 	}
 	counted := t.survived
@@ -97,6 +92,12 @@
 	}
 }
 
+func (t *Ticket) isOpen() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state == used
+}
+
 // Release returns the slot and records what the request showed. Calls after the
 // first have no effect.
 func (t *Ticket) Release(e Evidence) {
--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -77,8 +77,8 @@
 	return min(farFetchMax, farFetchDelay+time.Duration(n.peers.rankInZone())*farFetchStep)
 }
 
-// fetchNow reads the configuration from the named node, or from others if that
-// fails. One read runs at a time.
+// fetchNow reads the configuration from a node that has it, in the own zone if
+// there is one. One read runs at a time.
 func (n *Node) fetchNow(s versionSource) {
 	if !n.fetching.CompareAndSwap(false, true) {
 		return
@@ -86,11 +86,7 @@
 	go func() {
 		defer n.fetching.Store(false)
 		near, far := n.peers.holders(s.version)
-		addrs := append(near, append([]string{s.addr}, far...)...)
-		if s.near {
-			addrs = append([]string{s.addr}, append(near, far...)...)
-		}
-		n.fetchFrom(addrs)
+		n.fetchFrom(append(near, far...))
 	}()
 }
 
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -284,7 +284,7 @@
 		p.send([]netip.AddrPort{from}, 0)
 	}
 	if msg.Version > p.state().Version {
-		p.newer(versionSource{msg.Addr, msg.Version, msg.Zone == p.state().Zone})
+		p.newer(versionSource{msg.Version, msg.Zone == p.state().Zone})
 	}
 	return true
 }
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -36,7 +36,6 @@
 
 // versionSource is a node that has a version of the configuration.
 type versionSource struct {
-	addr    string
 	version int64
 	near    bool // in the own availability zone
 }
