Do not ask a host again whose target accepts no connections

Cause: a refused connection proves that a request did not run, so the entry node tried again at once. As a last resort it asked the same host again until the deadline of the request.

Change: a host that could not connect to its target is not asked by any request of this entry node for 250 ms. The player of loads counts reservations and attempts, and has targets that accept no connections.

--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -165,7 +165,7 @@
 		c.delivered++
 		c.d.view.Refused(t.addr)
 	case resultcode.NoTarget:
-		c.d.view.Refused(t.addr)
+		c.d.view.TargetAbsent(t.addr)
 	case resultcode.PeerUnreachable, resultcode.PeerLost:
 		c.d.view.PathFailed(t.addr)
 	}
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -96,6 +96,8 @@
 	t.refused += x.refused
 	t.failed += x.failed
 	t.crossZone += x.crossZone
+	t.reservations += x.reservations
+	t.attempts += x.attempts
 }
 
 // Failure rates for callers if every attempt goes to a random target and a
@@ -170,3 +172,21 @@
 		})
 	}
 }
+
+// Guards against requests that ask a host whose target accepts no connections
+// again and again until their deadline. The archive has two targets, which
+// accept no connections for 30% of the time, and more load than one of them can
+// serve.
+func TestLoadWithAbsentTargets(t *testing.T) {
+	got := runSimulations(t, 2, func(seed uint64) *simulation {
+		sim := threeServices(seed)
+		sim.mode, sim.failShare, sim.hosts[2].count = connectionRefused, 1, 2
+		return sim
+	})
+	const mostAttempts = 4 // per request: the first one and one for each 250 ms of its wait
+	for class, x := range got {
+		if perRequest := float64(x.attempts) / float64(x.all); perRequest > mostAttempts {
+			t.Errorf("%.1f attempts for each request of class %s, want at most %d", perRequest, class, mostAttempts)
+		}
+	}
+}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -46,8 +46,9 @@
 type failureMode uint8
 
 const (
-	noResponse      failureMode = iota // no response until the caller disconnects
-	connectionReset                    // the connection is reset at once
+	noResponse        failureMode = iota // no response until the caller disconnects
+	connectionReset                      // the connection is reset at once
+	connectionRefused                    // no connection is accepted, so no request runs
 )
 
 type simService struct {
@@ -99,13 +100,15 @@
 // policy is the retry budget of the fleet: as on the platform, about two
 // retries per host in a window on top of the ratio.
 func (sim *simulation) policy() RetryPolicy {
-	return RetryPolicy{Ratio: 0.2, Slack: 2 * float64(sim.count())}
+	return RetryPolicy{Ratio: 0.2, Slack: 2 * float64(sim.nodeCount())}
 }
 
 // simTally counts the outcomes of callers' requests.
 type simTally struct {
 	all, inTime, late, refused, failed int
 	crossZone                          int // attempts sent to another availability zone
+	reservations                       int // reservations asked of host nodes
+	attempts                           int // attempts that reached a host node with a reservation
 }
 
 type simNode struct {
@@ -207,7 +210,7 @@
 	return servicesAdmitCalls(n.view, n.outboundCalls.calledServices())
 }
 
-func (sim *simulation) count() int {
+func (sim *simulation) nodeCount() int {
 	n := 0
 	for _, s := range sim.hosts {
 		n += s.count
@@ -310,6 +313,7 @@
 // reserve implements reserver.
 func (n *simNode) reserve(ctx context.Context, addr string, r admission.Request) (reservation, error) {
 	host := n.sim.byAddr[addr]
+	n.sim.count(ctx, func(t *simTally) { t.reservations++ })
 	time.Sleep(n.sim.delay(n.zone, host.zone))
 	reserved, reason := host.budget.reserve(ctx, host.gate, r)
 	status := host.status()
@@ -335,9 +339,12 @@
 	if reason := s.reserved.Claim(); reason != admission.None {
 		return nil, notRun(resultcode.TargetDraining, "%s", reason)
 	}
-	if s.from.zone != s.host.zone {
-		s.from.sim.countCrossZone(ctx)
-	}
+	s.from.sim.count(ctx, func(t *simTally) {
+		t.attempts++
+		if s.from.zone != s.host.zone {
+			t.crossZone++
+		}
+	})
 	s.host.sim.recordArrival(ctx, s.host.service.name, s.req.Retry)
 	run := s.host.outboundCalls.beginRun(runSource(s.req.Idempotent), s.req.Retry)
 	resp, outcome, err := s.host.runTarget(context.WithValue(ctx, retryKey{}, s.req.Retry), ctx.Value(classKey{}).(*simClass))
@@ -351,10 +358,11 @@
 	return resp, nil
 }
 
-func (sim *simulation) countCrossZone(ctx context.Context) {
+// count updates the tally of the class of the request in ctx.
+func (sim *simulation) count(ctx context.Context, update func(*simTally)) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	sim.tallyOf(ctx.Value(classKey{}).(*simClass).route.Name).crossZone++
+	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).route.Name))
 }
 
 // retryKey is the context key that tells whether the run that makes a call is a
@@ -375,8 +383,11 @@
 // runTarget runs a request at the target.
 func (n *simNode) runTarget(ctx context.Context, c *simClass) (*response, admission.Outcome, *resultcode.Error) {
 	if n.inGrayFailure(n.sim.fleetNow()) && n.sim.float() < n.sim.failShare {
-		if n.sim.mode == connectionReset {
+		switch n.sim.mode {
+		case connectionReset:
 			return nil, admission.TransportError, resultcode.New(resultcode.TargetError, "reset")
+		case connectionRefused:
+			return nil, admission.TransportError, notRun(resultcode.NoTarget, "connection refused")
 		}
 		<-ctx.Done()
 		return nil, outcomeOfError(ctx, ctx.Err()), resultOfError(ctx, ctx.Err())
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -53,7 +53,7 @@
 	out := make([]Candidate, 0, len(list))
 	r.testIdle = !r.NoRetry && v.idleShare(list, now) >= v.cfg.IdleTestShare
 	for _, h := range list {
-		if h.status.Phase != admission.Serving || h.status.Stopping || slices.Contains(r.Tried, h.Addr) {
+		if h.status.Phase != admission.Serving || h.status.Stopping || now < h.absentUntil || slices.Contains(r.Tried, h.Addr) {
 			continue
 		}
 		out = append(out, v.candidate(h, r, now))
--- a/placement/view.go
+++ b/placement/view.go
@@ -35,6 +35,7 @@
 	StaleAfter               time.Duration // a host is asked last if nothing was received from it for longer
 	RefusalHold              time.Duration // how long after a refusal a host in this zone is not asked again
 	OtherZoneRefusalHold     time.Duration // the same for a host in another zone, where traffic is charged for
+	AbsentTargetHold         time.Duration // how long a host that cannot connect to its target is not asked
 }
 
 // DefaultConfig returns the parameters for the node with the given address and zone.
@@ -44,6 +45,7 @@
 		OtherZonePenalty: 1.1, OtherZoneDownloadPenalty: 3, SelfBonus: 0.1, NonIdempotentRiskWeight: 2, IdempotentRiskWeight: 1, IdleBonus: 0.8, IdleTestShare: 0.2, LongIdleBonus: 0.6, LongIdleAfter: 2 * time.Second, ColdStartPenalty: 0.4, Jitter: 0.2, TrialChance: 0.5, OtherZoneTrialChance: 0.3, OtherZoneTrialAfter: time.Second,
 		InitialBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
 		DownAfter: 1500 * time.Millisecond, StaleAfter: 4 * time.Second, RefusalHold: 60 * time.Millisecond, OtherZoneRefusalHold: 150 * time.Millisecond,
+		AbsentTargetHold: 250 * time.Millisecond,
 	}
 }
 
@@ -62,6 +64,7 @@
 	pathFailures int           // consecutive failures to reach the host
 	avoidUntil   time.Duration // end of the backoff after a path failure
 	refusedUntil time.Duration // end of the hold after a refusal
+	absentUntil  time.Duration // end of the hold after the host could not connect to its target
 }
 
 // View is what an entry node knows of the host nodes. Its methods are safe for
@@ -201,6 +204,16 @@
 	}
 }
 
+// TargetAbsent records that the host could not connect to its target, so that
+// no request asks this host until the hold ends.
+func (v *View) TargetAbsent(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil {
+		h.absentUntil = v.now() + v.cfg.AbsentTargetHold
+	}
+}
+
 // Count returns the number of hosts that are known to serve the service.
 func (v *View) Count(service string) int {
 	v.mu.Lock()
