Do not ask hosts that this node cannot reach while others are left

Hypothesis: where a host is cut from some entry nodes, each request there finds it out anew. A host in backoff ranked last, but under overload all others refuse, so every round asked it and waited 120 ms for nothing.

Change: hosts in backoff are left out as long as another host is not, and after the backoff one request at a time asks the host.

--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -98,6 +98,7 @@
 	t.crossZone += x.crossZone
 	t.reservations += x.reservations
 	t.attempts += x.attempts
+	t.unreachable += x.unreachable
 }
 
 // Failure rates for callers if every attempt goes to a random target and a
@@ -190,3 +191,23 @@
 		}
 	}
 }
+
+// Guards against requests that each find out anew which hosts their node cannot
+// reach. For 13 s a fifth of the pairs of nodes are cut from each other, while
+// there are twice as many requests as usual and gray failures, so that most
+// hosts refuse.
+func TestLoadWithPartialPartition(t *testing.T) {
+	got := runSimulations(t, 2, func(seed uint64) *simulation {
+		sim := threeServices(seed)
+		sim.cutShare, sim.burst = 0.2, 2
+		return sim
+	})
+	const mostUnreachable = 0.1 // per request
+	sum := &simTally{}
+	for _, x := range got {
+		sum.add(x)
+	}
+	if perRequest := float64(sum.unreachable) / float64(sum.all); perRequest > mostUnreachable {
+		t.Errorf("%.2f reservations for each request were asked of hosts that the node cannot reach, want at most %.2f", perRequest, mostUnreachable)
+	}
+}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -257,6 +257,7 @@
 		}
 		return reservedTarget{&localReservation{c.d.local, reserved, req}, cand.Addr, cand.Target}, admission.None, true
 	}
+	c.d.view.Ask(cand.Addr)
 	r, err := c.d.remote.reserve(c.ctx, cand.Addr, req)
 	var refused refusal
 	switch {
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -32,6 +33,7 @@
 	failShare float64 // fraction of its requests that such a target fails
 	duration  time.Duration
 	burst     float64 // factor on the request rate in the middle third
+	cutShare  float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
 	seed      uint64
 	nodes     []*simNode
 	byAddr    map[string]*simNode
@@ -108,6 +110,7 @@
 	all, inTime, late, refused, failed int
 	crossZone                          int // attempts sent to another availability zone
 	reservations                       int // reservations asked of host nodes
+	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
 }
 
@@ -239,7 +242,7 @@
 	for round := 0; ; round++ {
 		crossZone := round%2 == 0
 		for _, to := range n.sim.nodes {
-			if to.zone == n.zone || crossZone {
+			if (to.zone == n.zone || crossZone) && !n.sim.isCut(n, to) {
 				to.view.Update(placement.Host{Addr: n.addr, Zone: n.zone}, n.status())
 			}
 		}
@@ -254,11 +257,25 @@
 	}
 }
 
+// inMiddleThird reports whether the disruption of the simulation is active.
+func (sim *simulation) inMiddleThird() bool {
+	third := sim.duration / 3
+	return sim.fleetNow() > third && sim.fleetNow() < 2*third
+}
+
+// isCut reports whether two nodes cannot reach each other.
+func (sim *simulation) isCut(a, b *simNode) bool {
+	if sim.cutShare == 0 || a == b || !sim.inMiddleThird() {
+		return false
+	}
+	return rand.New(rand.NewPCG(uint64(a.phase^b.phase), sim.seed)).Float64() < sim.cutShare
+}
+
 // generateLoad sends requests of a class at random times.
 func (sim *simulation) generateLoad(c *simClass, callers *sync.WaitGroup) {
 	for sim.fleetNow() < sim.duration {
 		rate := c.rate
-		if third := sim.duration / 3; sim.burst > 0 && sim.fleetNow() > third && sim.fleetNow() < 2*third {
+		if sim.burst > 0 && sim.inMiddleThird() {
 			rate *= sim.burst
 		}
 		time.Sleep(time.Duration(-math.Log(1-sim.float()) / rate * float64(time.Second)))
@@ -314,6 +331,11 @@
 func (n *simNode) reserve(ctx context.Context, addr string, r admission.Request) (reservation, error) {
 	host := n.sim.byAddr[addr]
 	n.sim.count(ctx, func(t *simTally) { t.reservations++ })
+	if n.sim.isCut(n, host) {
+		n.sim.count(ctx, func(t *simTally) { t.unreachable++ })
+		sleepFor(ctx, r.MaxWait+reserveTimeout)
+		return nil, errors.New("no response")
+	}
 	time.Sleep(n.sim.delay(n.zone, host.zone))
 	reserved, reason := host.budget.reserve(ctx, host.gate, r)
 	status := host.status()
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -23,6 +23,7 @@
 	Target          string // ID of the target on the host
 	LastResort      bool   // ejected and not chosen for a trial request: ask only as the last resort
 	RecentlyRefused bool   // it refused a request within the refusal hold
+	InBackoff       bool   // it was unreachable, and the backoff has not ended
 	OtherZone       bool   // in another availability zone
 	score           float64
 }
@@ -39,12 +40,13 @@
 const (
 	refusedPenalty = 4
 	stalePenalty   = 16
-	avoidedPenalty = 64
 	ejectedPenalty = 256
 )
 
 // Rank returns the hosts to ask, best first. Hosts with an ejected target that is
-// not chosen for a trial request come last and have LastResort set.
+// not chosen for a trial request come last and have LastResort set. Hosts in
+// backoff are left out unless all are: a request that asks one waits in vain
+// until the reservation times out.
 func (v *View) Rank(r Request) []Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -58,6 +60,9 @@
 		}
 		out = append(out, v.candidate(h, r, now))
 	}
+	if reachable := func(c Candidate) bool { return !c.InBackoff }; slices.ContainsFunc(out, reachable) {
+		out = slices.DeleteFunc(out, func(c Candidate) bool { return c.InBackoff })
+	}
 	slices.SortFunc(out, func(a, b Candidate) int {
 		switch {
 		case a.score < b.score:
@@ -129,7 +134,7 @@
 	age := now - h.statusAt
 	slots := max(1, s.Slots)
 	load := float64(max(s.Running+s.Waiting, h.inFlight)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil, OtherZone: h.Zone != v.cfg.Zone}
+	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil, InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone}
 	c.score = load + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
@@ -170,8 +175,5 @@
 	if now-h.lastHeard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
 		c.score += stalePenalty
 	}
-	if now < h.avoidUntil {
-		c.score += avoidedPenalty
-	}
 	return c
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -162,6 +162,16 @@
 	}
 }
 
+// Ask records that a request is about to ask the host. If the host was
+// unreachable before, other requests avoid it until the outcome is known.
+func (v *View) Ask(addr string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h := v.hosts[addr]; h != nil && h.pathFailures > 0 {
+		h.avoidUntil = max(h.avoidUntil, v.now()+v.cfg.InitialBackoff)
+	}
+}
+
 // PathFailed records that the host was unreachable or did not respond in time,
 // and backs off from it.
 func (v *View) PathFailed(addr string) {
