Admit orders by the probability that the target is still gray

Hypothesis: most orders are lost not at the onset of a gray failure but later in it.

Change: the risk of a target is the probability that it is gray, estimated as for a Markov chain with two states, from every outcome and every open request, weighed by age. It remembers a failure after the target has returned, so reads go there at once and orders only when enough of them succeeded; under shortage requests accept more risk, as before. An idle target is offered orders only if its risk is at most one half. A single error answer raises the risk now; before, two in a row were needed to notice anything.

--- a/admission/detector.go
+++ b/admission/detector.go
@@ -66,13 +66,19 @@
 	overdueRequests  int                      // requests that became overdue since the newest success
 	sawFailure       bool                     // the ejection has seen a failure, not only overdue requests
 	ejections        int                      // ejections so far
-	healthySince     time.Duration            // start of the current or last healthy period
+	stateSince       time.Duration            // start of the current healthy period or ejection
 	healthyFor       time.Duration            // total length of the healthy periods that have ended
+	ejectedFor       time.Duration            // total length of the ejections that have ended
+	belief           belief                   // probability of a gray failure
+	lastFailureStart time.Duration            // newest start of a request that failed
 }
 
 // NewDetector returns a Detector of a target without any outcome.
 func NewDetector(cfg DetectorConfig) *Detector {
-	return &Detector{cfg: cfg, zoneFailures: map[string]time.Duration{}}
+	d := &Detector{cfg: cfg, zoneFailures: map[string]time.Duration{}}
+	p := d.rates(0).stationary()
+	d.belief.odds = p / (1 - p)
+	return d
 }
 
 // Ejected reports whether the target gets only trial requests.
@@ -122,6 +128,7 @@
 // and ended now. It reports whether the target was ejected or returned.
 func (d *Detector) Observe(o Outcome, zone string, start, now time.Duration) (changed bool) {
 	before := d.Ejected()
+	d.observeState(o, start, now)
 	if o != Success && o != Neutral {
 		d.recordFailureTime(now - start)
 	}
@@ -161,6 +168,7 @@
 		return false
 	}
 	d.EndTrial()
+	d.observeState(Success, start, now)
 	d.recordSuccess(zone, start, now)
 	return true
 }
@@ -192,7 +200,8 @@
 		d.recovering = true
 		d.sawFailure = d.sawFailure && d.needed > 0
 		if d.needed == 0 {
-			d.healthySince = now
+			d.ejectedFor += now - d.stateSince
+			d.stateSince = now
 		}
 	}
 }
@@ -227,7 +236,8 @@
 	if d.needed == 0 {
 		d.trialDelay = firstDelay
 		d.ejections++
-		d.healthyFor += now - d.healthySince
+		d.healthyFor += now - d.stateSince
+		d.stateSince = now
 	} else {
 		d.trialDelay = min(max(2*d.trialDelay, d.cfg.TrialInterval), d.cfg.MaxTrialInterval)
 	}
@@ -235,15 +245,6 @@
 	d.needed = max(d.needed, needed)
 }
 
-// ejectionRate returns the estimated number of ejections per second of healthy time.
-func (d *Detector) ejectionRate(now time.Duration) float64 {
-	healthy := d.healthyFor
-	if d.needed == 0 {
-		healthy += now - d.healthySince
-	}
-	return (1 + float64(d.ejections)) / (priorHealthyTime + healthy).Seconds()
-}
-
 var outcomeNames = [...]string{"neutral", "good", "error_answer", "broken", "silent"}
 
 // String returns the name used in logs and metrics.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -241,7 +241,11 @@
 	if g.detector.ZoneFailing(req.Zone, now) {
 		return TargetEjected
 	}
-	if (req.AllowUntested && !g.detector.Tested()) || req.LastResort || g.risk(now) <= req.MaxRisk || IsIdle(g.idle(now), g.detector.Tested()) {
+	tested := g.detector.Tested()
+	switch {
+	case req.AllowUntested && !tested, req.LastResort, g.risk(now) <= req.MaxRisk:
+		return None
+	case IsIdle(g.idle(now), tested) && g.grayRisk(now) <= maxIdleRisk:
 		return None
 	}
 	return TargetUnproven
@@ -251,7 +255,7 @@
 // target are admitted too. A non-idempotent request that fails would have an
 // unknown outcome, so it is refused as not run, unless it is the last resort for
 // a target that has nearly recovered or is only suspected, or the target gets no
-// other request that could be its trial.
+// other request that could be its trial and has probably recovered.
 func (g *Gate) checkEjected(req Request, now time.Duration) Reason {
 	due := g.detector.TrialIn(now) == 0
 	switch {
@@ -259,7 +263,7 @@
 		return None
 	case !req.Idempotent && req.LastResort && (g.detector.NearlyRecovered() || g.detector.Suspected() && g.detector.needed == 1):
 		return None
-	case !req.Idempotent && due && g.idle(now) >= idleAfter:
+	case !req.Idempotent && due && g.idle(now) >= idleAfter && g.grayRisk(now) <= maxIdleRisk:
 		return None
 	}
 	return TargetEjected
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -28,6 +28,7 @@
 	overdueAfter time.Duration
 	overdueTimer *time.Timer
 	overdue      bool // the request has become overdue
+	sent         bool // Claim has succeeded; guarded by gate.mu
 
 	mu    sync.Mutex
 	state reservationState
@@ -69,6 +70,7 @@
 		r.overdueTimer = time.AfterFunc(r.gate.overdueAfter(r.overdueAfter, r.start), r.markOverdue)
 	}
 	if reason == None {
+		r.sent = true
 		r.gate.open = append(r.gate.open, r)
 	}
 	r.gate.mu.Unlock()
@@ -207,8 +209,12 @@
 	if o == Success {
 		g.adjustOverdueFactor(r.overdue)
 	}
+	if o == Neutral && r.sent {
+		g.observeStall(r, now)
+	}
 	switch {
 	case r.overdue && o == Timeout:
+		r.detector.observeState(o, r.start, now)
 		return false // counted by markOverdue
 	case r.countedEarly && o == Success:
 		return false // counted by countEarlySuccess
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"hyssopbridge/admission"
 	"hyssopbridge/config/dynamic"
 )
 
@@ -98,6 +100,7 @@
 	t.crossZone += x.crossZone
 	t.reservations += x.reservations
 	t.attempts += x.attempts
+	t.lost += x.lost
 	t.unreachable += x.unreachable
 }
 
@@ -211,3 +214,24 @@
 		t.Errorf("%.2f reservations for each request were asked of hosts that the node cannot reach, want at most %.2f", perRequest, mostUnreachable)
 	}
 }
+
+// Guards against orders that are lost again and again to a target in a long
+// gray failure, which returns after lucky successes or is tried with orders
+// because it is idle. Each target is gray for whole periods of 9 s, three in
+// ten. What can't be avoided are the orders that arrive before the first one is
+// overdue; one more may follow a return.
+func TestOrdersLostPerOnset(t *testing.T) {
+	lost, onsets := 0, 0
+	for seed := range uint64(3) {
+		sim := threeServices(seed + 1)
+		sim.wholePeriods = true
+		lost += sim.run(t)["order"].lost
+		onsets += sim.grayOnsets("orders")
+	}
+	order := threeServices(1).classes[1]
+	overdue := order.runTime.Seconds() * math.Exp(admission.OverdueStdDevs*order.spread-order.spread*order.spread/2)
+	arrivals := order.rate / 18 * overdue
+	if perOnset, most := float64(lost)/float64(onsets), 1+grayFailShare*arrivals; perOnset > most {
+		t.Errorf("%.2f orders lost for each of %d onsets, want at most %.2f", perOnset, onsets, most)
+	}
+}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -30,18 +30,21 @@
 	mode      failureMode
 	grayShare float64 // fraction of the time for which each target is in gray failure
 	period    time.Duration
-	failShare float64 // fraction of its requests that such a target fails
-	duration  time.Duration
-	burst     float64 // factor on the request rate in the middle third
-	cutShare  float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
-	seed      uint64
-	nodes     []*simNode
-	byAddr    map[string]*simNode
-	mu        sync.Mutex
-	rand      *rand.Rand
-	tally     map[string]*simTally
-	arrivals  map[string][]simArrival // by service
-	fleetNow  func() time.Duration
+	// wholePeriods makes a gray failure last for whole periods, each with the
+	// probability grayShare, and not for the first part of every period.
+	wholePeriods bool
+	failShare    float64 // fraction of its requests that such a target fails
+	duration     time.Duration
+	burst        float64 // factor on the request rate in the middle third
+	cutShare     float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
+	seed         uint64
+	nodes        []*simNode
+	byAddr       map[string]*simNode
+	mu           sync.Mutex
+	rand         *rand.Rand
+	tally        map[string]*simTally
+	arrivals     map[string][]simArrival // by service
+	fleetNow     func() time.Duration
 }
 
 // failureMode is how a target in gray failure fails.
@@ -109,6 +112,7 @@
 type simTally struct {
 	all, inTime, late, refused, failed int
 	crossZone                          int // attempts sent to another availability zone
+	lost                               int // attempts that a gray failure made fail
 	reservations                       int // reservations asked of host nodes
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
@@ -130,10 +134,34 @@
 
 // inGrayFailure reports whether the target is failing at the given time.
 func (n *simNode) inGrayFailure(now time.Duration) bool {
+	if n.sim.wholePeriods {
+		period := uint64((now + n.phase) / n.sim.period)
+		return rand.New(rand.NewPCG(uint64(n.phase), period)).Float64() < n.sim.grayShare
+	}
 	at := (now + n.phase) % n.sim.period
 	return float64(at) < n.sim.grayShare*float64(n.sim.period)
 }
 
+// grayOnsets returns the number of gray failures that begin at the targets of a
+// service.
+func (sim *simulation) grayOnsets(service string) int {
+	onsets := 0
+	for _, n := range sim.nodes {
+		if n.service.name != service {
+			continue
+		}
+		was := false
+		for now := time.Duration(0); now < sim.duration; now += 100 * time.Millisecond {
+			is := n.inGrayFailure(now)
+			if is && !was {
+				onsets++
+			}
+			was = is
+		}
+	}
+	return onsets
+}
+
 const (
 	sameZoneDelay  = 100 * time.Microsecond // one way, within a zone
 	crossZoneDelay = 1400 * time.Microsecond
@@ -368,10 +396,14 @@
 		}
 	})
 	s.host.sim.recordArrival(ctx, s.host.service.name, s.req.Retry)
+	wasGray := s.host.inGrayFailure(s.host.sim.fleetNow())
 	run := s.host.outboundCalls.beginRun(runSource(s.req.Idempotent), s.req.Retry)
 	resp, outcome, err := s.host.runTarget(context.WithValue(ctx, retryKey{}, s.req.Retry), ctx.Value(classKey{}).(*simClass))
 	s.host.outboundCalls.endRun(run, outcome == admission.Success)
 	s.reserved.Release(outcome)
+	if err != nil && wasGray {
+		s.from.sim.count(ctx, func(t *simTally) { t.lost++ })
+	}
 	time.Sleep(delay)
 	s.from.view.Refresh(s.host.addr, s.host.status())
 	if err != nil {
