Do not ask hosts that have just shown that they would refuse

Hypothesis: most bytes between zones are futile questions.

Change: a status that is younger than 150 ms (400 ms from another zone) and shows a full target with a queue, or a risk above what the request accepts, counts as a refusal. A request asks at most ten hosts of other zones while its own zone serves the service, and then waits in its own zone.

--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -44,6 +44,8 @@
 	fallback    *response // error response of a target, returned if no other target succeeds
 	hedge       bool      // another attempt is in flight
 	retryRounds int       // rounds in which a retry asks host nodes
+
+	otherZoneAsks int // host nodes of other zones that were asked for a slot
 }
 
 // reservedTarget is a reservation together with the host and target it is for.
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -99,6 +99,7 @@
 	t.failed += x.failed
 	t.crossZone += x.crossZone
 	t.reservations += x.reservations
+	t.crossZoneReservations += x.crossZoneReservations
 	t.attempts += x.attempts
 	t.lost += x.lost
 	t.unreachable += x.unreachable
@@ -235,3 +236,22 @@
 		t.Errorf("%.2f orders lost for each of %d onsets, want at most %.2f", perOnset, onsets, most)
 	}
 }
+
+// Guards against requests that ask all hosts again and again while all are
+// full: in the middle third there are twice as many requests as the targets that
+// are not gray can run. Each such question between zones costs nearly as much
+// traffic as an order.
+func TestFewReservationsBeyondCapacity(t *testing.T) {
+	got := runSimulations(t, 2, func(seed uint64) *simulation {
+		sim := threeServices(seed)
+		sim.wholePeriods, sim.burst = true, 2
+		return sim
+	})
+	const mostCrossZone = 3 // for each request, on average
+	for _, class := range []string{"order"} {
+		x := got[class]
+		if perRequest := float64(x.crossZoneReservations) / float64(x.all); perRequest > mostCrossZone {
+			t.Errorf("%.1f reservations in other zones for each request of class %s, want at most %d", perRequest, class, mostCrossZone)
+		}
+	}
+}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -21,6 +21,9 @@
 	// defaultRetryRounds is the number of rounds in which a retry asks host
 	// nodes: first for a target with a recent success, then for any.
 	defaultRetryRounds = 2
+	// maxOtherZoneAsks bounds the host nodes of other zones that a request asks
+	// while its own zone serves the service.
+	maxOtherZoneAsks = 10
 	// maxQueueWait bounds the wait for a slot at one host node before the
 	// request looks for another.
 	maxQueueWait = 200 * time.Millisecond
@@ -125,6 +128,9 @@
 		if asked == maxHostsPerRound || c.ctx.Err() != nil {
 			break
 		}
+		if cand.OtherZone && !c.mayAskOtherZone() {
+			continue
+		}
 		asked++
 		var t reservedTarget
 		var ok bool
@@ -135,6 +141,18 @@
 	return reservedTarget{}, reason, false
 }
 
+// mayAskOtherZone reports whether the request may ask one more host of another
+// zone, and counts it. A request that few of them accept waits in its own zone:
+// asking all of them again and again costs more traffic between zones than the
+// requests themselves.
+func (c *call) mayAskOtherZone() bool {
+	if c.otherZoneAsks >= maxOtherZoneAsks && c.d.view.ServedInZone(c.service) {
+		return false
+	}
+	c.otherZoneAsks++
+	return true
+}
+
 // reserveEjected tries ejected targets before a request is refused for lack of
 // capacity. An idempotent request would be refused otherwise, its success may
 // end the ejection, and its first attempt needs no retry budget.
@@ -143,7 +161,7 @@
 		return reservedTarget{}, false
 	}
 	asked := 0
-	for _, cand := range c.rankedHosts() {
+	for _, cand := range c.rankedHosts(0) {
 		if !cand.LastResort || cand.OtherZone {
 			continue
 		}
@@ -158,17 +176,17 @@
 	return reservedTarget{}, false
 }
 
-// rankedHosts returns all host nodes of the service, best first.
-func (c *call) rankedHosts() []placement.Candidate {
+// rankedHosts returns all host nodes of the service, best first for a round.
+func (c *call) rankedHosts(round int) []placement.Candidate {
 	return c.d.view.Rank(placement.Request{
-		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(),
+		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round),
 		Download: c.route.Download, Tried: append(slices.Clone(c.tried), c.outOfBudget...),
 	})
 }
 
 // candidates returns the host nodes to ask in a round.
 func (c *call) candidates(round int) []placement.Candidate {
-	all := c.rankedHosts()
+	all := c.rankedHosts(round)
 	if len(all) > 0 && all[0].LastResort {
 		// Ejected targets are the last resort when no other target is left.
 		if !c.mayUseEjected() {
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -114,6 +114,7 @@
 	crossZone                          int // attempts sent to another availability zone
 	lost                               int // attempts that a gray failure made fail
 	reservations                       int // reservations asked of host nodes
+	crossZoneReservations              int // reservations asked of host nodes in another zone
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
 }
@@ -358,7 +359,12 @@
 // reserve implements reserver.
 func (n *simNode) reserve(ctx context.Context, addr string, r admission.Request) (reservation, error) {
 	host := n.sim.byAddr[addr]
-	n.sim.count(ctx, func(t *simTally) { t.reservations++ })
+	n.sim.count(ctx, func(t *simTally) {
+		t.reservations++
+		if n.zone != host.zone {
+			t.crossZoneReservations++
+		}
+	})
 	if n.sim.isCut(n, host) {
 		n.sim.count(ctx, func(t *simTally) { t.unreachable++ })
 		sleepFor(ctx, r.MaxWait+reserveTimeout)
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -13,6 +13,7 @@
 	Idempotent bool
 	NoRetry    bool     // idempotent, but could not be retried after a failure, so it is no trial request
 	Download   bool     // the response is large, so traffic between availability zones matters
+	MaxRisk    float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
 	Tried      []string // addresses of the hosts that are excluded
 	testIdle   bool     // many targets are idle, so non-idempotent requests test them too
 }
@@ -22,7 +23,7 @@
 	Host
 	Target          string // ID of the target on the host
 	LastResort      bool   // ejected and not chosen for a trial request: ask only as the last resort
-	RecentlyRefused bool   // it refused a request within the refusal hold
+	RecentlyRefused bool   // it refused a request within the refusal hold, or its status shows that it would
 	InBackoff       bool   // it was unreachable, and the backoff has not ended
 	OtherZone       bool   // in another availability zone
 	score           float64
@@ -43,6 +44,22 @@
 	ejectedPenalty = 256
 )
 
+// wouldRefuse reports whether the host's status shows that it would refuse the
+// request now: all slots are in use and others wait for one, or the risk of its
+// target exceeds what the request accepts.
+func (v *View) wouldRefuse(h *host, r Request, age time.Duration) bool {
+	s := &h.status
+	hold := v.cfg.StatusHold
+	if h.Zone != v.cfg.Zone {
+		hold = v.cfg.OtherZoneStatusHold
+	}
+	if age > hold || s.Ejected {
+		return false
+	}
+	mayBeTrial := r.Idempotent && !r.NoRetry
+	return s.Running >= s.Slots && s.Waiting > 0 || !mayBeTrial && s.Tested && s.Risk > r.MaxRisk && !v.isIdle(h, age)
+}
+
 // Rank returns the hosts to ask, best first. Hosts with an ejected target that is
 // not chosen for a trial request come last and have LastResort set. Hosts in
 // backoff are left out unless all are: a request that asks one waits in vain
@@ -134,7 +151,7 @@
 	age := now - h.statusAt
 	slots := max(1, s.Slots)
 	load := float64(max(s.Running+s.Waiting, h.inFlight)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil, InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone}
+	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone}
 	c.score = load + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -274,3 +274,34 @@
 		}
 	}
 }
+
+// Guards against asking a host that has just stated that it would refuse, and
+// against relying on such a statement for long.
+func TestKnownRefusal(t *testing.T) {
+	full := healthy(5, 5)
+	full.Waiting = 1
+	risky := healthy(5, 1)
+	risky.Risk = 0.3
+	for name, tc := range map[string]struct {
+		status  admission.Status
+		request Request
+		want    bool
+	}{
+		"full":                     {full, Request{MaxRisk: 0.1}, true},
+		"full for a trial request": {full, Request{Idempotent: true}, true},
+		"risky":                    {risky, Request{MaxRisk: 0.1}, true},
+		"risk accepted":            {risky, Request{MaxRisk: 0.35}, false},
+		"risk of a trial request":  {risky, Request{Idempotent: true}, false},
+	} {
+		v := newTestView()
+		v.Update(Host{"h", "z1"}, tc.status)
+		tc.request.Service = "s"
+		if got := v.Rank(tc.request)[0].RecentlyRefused; got != tc.want {
+			t.Errorf("%s: refusal known %v, want %v", name, got, tc.want)
+		}
+		v.now += DefaultConfig("self", "z1").StatusHold + time.Millisecond
+		if v.Rank(tc.request)[0].RecentlyRefused {
+			t.Errorf("%s: an old status counts as a refusal", name)
+		}
+	}
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -35,6 +35,8 @@
 	StaleAfter               time.Duration // a host is asked last if nothing was received from it for longer
 	RefusalHold              time.Duration // how long after a refusal a host in this zone is not asked again
 	OtherZoneRefusalHold     time.Duration // the same for a host in another zone, where traffic is charged for
+	StatusHold               time.Duration // how long a status shows whether its host would refuse a request
+	OtherZoneStatusHold      time.Duration // the same for a host in another zone
 	AbsentTargetHold         time.Duration // how long a host that cannot connect to its target is not asked
 }
 
@@ -45,7 +47,7 @@
 		OtherZonePenalty: 1.1, OtherZoneDownloadPenalty: 3, SelfBonus: 0.1, NonIdempotentRiskWeight: 2, IdempotentRiskWeight: 1, IdleBonus: 0.8, IdleTestShare: 0.2, LongIdleBonus: 0.6, LongIdleAfter: 2 * time.Second, ColdStartPenalty: 0.4, Jitter: 0.2, TrialChance: 0.5, OtherZoneTrialChance: 0.3, OtherZoneTrialAfter: time.Second,
 		InitialBackoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second,
 		DownAfter: 1500 * time.Millisecond, StaleAfter: 4 * time.Second, RefusalHold: 60 * time.Millisecond, OtherZoneRefusalHold: 150 * time.Millisecond,
-		AbsentTargetHold: 250 * time.Millisecond,
+		StatusHold: 150 * time.Millisecond, OtherZoneStatusHold: 400 * time.Millisecond, AbsentTargetHold: 250 * time.Millisecond,
 	}
 }
 
@@ -237,6 +239,19 @@
 	return n
 }
 
+// ServedInZone reports whether a host in this node's zone has a healthy target
+// of the service.
+func (v *View) ServedInZone(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, h := range v.byService[service] {
+		if h.Zone == v.cfg.Zone && h.status.Phase == admission.Serving && !h.status.Ejected && !h.status.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // AdmitsRetries reports whether a request that fails at a target could probably
 // be retried: at least half of the service's hosts would admit a retry.
 func (v *View) AdmitsRetries(service string) bool {
