Let a request wait in one queue for as long as it may wait

Hypothesis: a request that waits 200 ms at one host, is refused and asks again loses its place to later ones and costs a round of questions each time.

Change: its wait in a queue is what is left of its whole wait.

--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -248,7 +248,7 @@
 		return sim
 	})
 	const mostCrossZone = 3 // for each request, on average
-	for _, class := range []string{"order"} {
+	for _, class := range []string{"order", "lookup"} {
 		x := got[class]
 		if perRequest := float64(x.crossZoneReservations) / float64(x.all); perRequest > mostCrossZone {
 			t.Errorf("%.1f reservations in other zones for each request of class %s, want at most %d", perRequest, class, mostCrossZone)
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -24,9 +24,9 @@
 	// maxOtherZoneAsks bounds the host nodes of other zones that a request asks
 	// while its own zone serves the service.
 	maxOtherZoneAsks = 10
-	// maxQueueWait bounds the wait for a slot at one host node before the
-	// request looks for another.
-	maxQueueWait = 200 * time.Millisecond
+	// minQueueWait is the shortest wait in the queue of a host node. A request
+	// that has waited long enough before a retry still gets this chance.
+	minQueueWait = 100 * time.Millisecond
 	// roundPause is the pause between rounds in which every host node refused.
 	roundPause = 20 * time.Millisecond
 	// minSendTime is the least time that must be left for a request to be sent.
@@ -90,13 +90,16 @@
 
 // hasWaited reports whether the request has waited for a target as long as it
 // may.
-func (c *call) hasWaited() bool {
+func (c *call) hasWaited() bool { return c.waitLeft() < 0 }
+
+// waitLeft returns for how long the request may still wait for a target.
+func (c *call) waitLeft() time.Duration {
 	waited := time.Since(c.start)
 	limit := time.Duration(maxWaitShare * float64(c.route.Objective))
 	if c.q.fromRunProb > likelyNested {
 		limit = max(limit, time.Duration(nestedMaxWaitShare*float64(waited+c.left())))
 	}
-	return waited > limit
+	return limit - waited
 }
 
 func (c *call) endedError() error {
@@ -230,7 +233,7 @@
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
 	}
 	if round > 1 && cand.RecentlyRefused {
-		r.MaxWait = min(maxQueueWait, c.left()/2)
+		r.MaxWait = min(max(c.waitLeft(), minQueueWait), c.left()/2)
 	}
 	return r
 }
