Queue at the host that ranks best in any zone

Hypothesis: under shortage a request queues only in its own zone.

Change: a request queues at the host that ranks best among those that have refused. The penalty of another zone stays part of the rank.

--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	const ms = time.Millisecond
 	return &simulation{
 		zones: 3, seed: seed, duration: 40 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75,
-		hosts: []simService{{"lookups", 9, 4}, {"orders", 18, 4}, {"archive", 6, 4}},
+		hosts: []simService{{name: "lookups", count: 9, slots: 4}, {name: "orders", count: 18, slots: 4}, {name: "archive", count: 6, slots: 4}},
 		classes: []simClass{
 			{simRoute("lookup", "lookups", true, 1500*ms, 2500*ms, 3, 2), 24, 420 * ms, 0.7, "colour", 0.7},
 			{simRoute("order", "orders", false, 1500*ms, 3000*ms, 2, 1), 71, 320 * ms, 0.5, "font", 0.7},
@@ -38,7 +39,7 @@
 	const ms = time.Millisecond
 	return &simulation{
 		zones: 4, seed: seed, duration: 40 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75, mode: connectionReset,
-		hosts: []simService{{"desk", 17, 5}, {"depot", 8, 5}},
+		hosts: []simService{{name: "desk", count: 17, slots: 5}, {name: "depot", count: 8, slots: 5}},
 		classes: []simClass{
 			{simRoute("read", "desk", true, 1000*ms, 2000*ms, 3, 2), 26.8, 290 * ms, 0.7, "check", 0.7},
 			{simRoute("order", "desk", false, 1000*ms, 2500*ms, 2, 1), 67, 380 * ms, 0.5, "", 0},
@@ -53,7 +54,7 @@
 	const ms = time.Millisecond
 	return &simulation{
 		zones: 6, seed: seed, duration: 15 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75, mode: connectionReset,
-		hosts: []simService{{"desk", 50, 8}, {"depot", 10, 8}},
+		hosts: []simService{{name: "desk", count: 50, slots: 8}, {name: "depot", count: 10, slots: 8}},
 		classes: []simClass{
 			{simRoute("read", "desk", true, 1500*ms, 3000*ms, 3, 2), 83, 440 * ms, 0.7, "check", 0.7},
 			{simRoute("order", "desk", false, 1500*ms, 4000*ms, 2, 1), 208, 570 * ms, 0.5, "", 0},
@@ -255,3 +256,20 @@
 		}
 	}
 }
+
+// Guards against callers of a zone with few targets that wait there for a slot
+// while targets of other zones have shorter queues. All targets of orders, which
+// call the archive, are in one zone with one of its nine targets.
+func TestLoadWithUnevenZones(t *testing.T) {
+	got := runSimulations(t, 4, func(seed uint64) *simulation {
+		sim := threeServices(seed)
+		sim.wholePeriods, sim.grayShare = true, 0
+		sim.hosts[1].zones = slices.Repeat([]int{1}, sim.hosts[1].count)
+		sim.hosts[2] = simService{name: "archive", count: 9, slots: 1, zones: []int{0, 0, 0, 0, 2, 2, 2, 2, 1}}
+		return sim
+	})
+	x := got["font"]
+	if refused := float64(x.refused) / float64(x.all); refused > 0.01 {
+		t.Errorf("%.3f of %d calls of orders were refused although other zones had free slots", refused, x.all)
+	}
+}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -210,7 +210,9 @@
 }
 
 // queueCandidates returns the hosts that have not refused recently and, last,
-// one at which to wait for a slot, preferably in the same availability zone.
+// the best of the others, at which to wait for a slot. Its availability zone
+// counts in the ranking only: a zone with few targets must not make its callers
+// wait while targets of other zones have shorter queues.
 func queueCandidates(all []placement.Candidate) []placement.Candidate {
 	var free, queue []placement.Candidate
 	for _, cand := range all {
@@ -218,7 +220,7 @@
 		case cand.LastResort:
 		case !cand.RecentlyRefused:
 			free = append(free, cand)
-		case len(queue) == 0 || (queue[0].OtherZone && !cand.OtherZone):
+		case len(queue) == 0:
 			queue = []placement.Candidate{cand}
 		}
 	}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -60,6 +60,7 @@
 	name  string
 	count int // number of targets
 	slots int
+	zones []int // zone of each target; even if empty
 }
 
 type simClass struct {
@@ -199,7 +200,11 @@
 		sim.fleetNow = func() time.Duration { return time.Since(start) }
 		for _, s := range sim.hosts {
 			for i := range s.count {
-				sim.addNode(s, fmt.Sprintf("%s-%d", s.name, i), fmt.Sprint("z", i%sim.zones))
+				zone := i % sim.zones
+				if len(s.zones) > 0 {
+					zone = s.zones[i]
+				}
+				sim.addNode(s, fmt.Sprintf("%s-%d", s.name, i), fmt.Sprint("z", zone))
 			}
 		}
 		ctx, cancel := context.WithCancel(t.Context())
