Let callers wait only while their response can still be in time

Change: who uses a route shows when no run is active; a route that fewer than one run in ten could have called is the clients'. Other requests wait until two mean run times of their route are left of the objective, within 0.3 and 0.6 of it, in place of 0.3 of any objective.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -85,7 +85,7 @@
 	defer cancel()
 	service := e.splitter.Pick(route)
 	if service != e.localService() {
-		q.fromRunProb, q.fromRetryProb = e.outboundCalls.record(service)
+		q.fromRunProb, q.fromRetryProb = e.outboundCalls.record(route.Name, service)
 	}
 	resp, err := e.dispatcher.serve(ctx, q, route, service, start)
 	if err != nil {
--- a/mesh/outboundcalls.go
+++ b/mesh/outboundcalls.go
@@ -8,9 +8,9 @@
 
 // outboundCalls estimates which run at the target beside this node made a call
 // that originates on this host. Neither the call nor the target says so, and
-// other clients on the host make requests as well. Each call is divided among
-// the active runs and the clients in proportion to the call rates estimated so
-// far, which converges to the most likely rates.
+// other clients on the host make requests as well; on which routes, shows when no
+// run is active. Each call is divided among the active runs in proportion to the
+// call rates estimated so far, which converges to the most likely rates.
 type outboundCalls struct {
 	now func() time.Duration
 
@@ -20,7 +20,17 @@
 	completed   [numSources]float64 // runs that succeeded
 	busySeconds [numSources]float64 // total run time of completed
 	calls       [numSources]float64
-	byService   map[string]float64 // calls made by idempotent runs, by called service
+	byService   map[string]float64     // calls made by idempotent runs, by called service
+	byRoute     map[string]*routeCalls // requests that originated on this host
+	runs        float64                // runs that succeeded, weighted like the requests in byRoute
+	observed    float64                // seconds
+	idle        float64                // seconds of observed without an active run
+}
+
+// routeCalls counts the requests of one route that originated on this host.
+type routeCalls struct {
+	all  float64
+	idle float64 // those that were made without an active run, so by other clients
 }
 
 // activeRun is a run that has not ended.
@@ -30,13 +40,12 @@
 	start  time.Duration
 }
 
-// callSource is a possible origin of a call.
+// callSource is the kind of the run that made a call.
 type callSource uint8
 
 const (
 	idempotentRuns    callSource = iota // runs of idempotent requests
 	nonIdempotentRuns                   // runs of non-idempotent requests
-	hostClients                         // other clients on the host; always active
 	numSources
 )
 
@@ -44,19 +53,26 @@
 	// callsDecayTime is the time constant with which older counts lose weight:
 	// after it, about a third of the weight remains.
 	callsDecayTime = 15 * time.Second
+	// routesDecayTime is the same for the counts of routes. It is longer, since
+	// only few requests are made while no run is active, and a route's callers
+	// hardly change.
+	routesDecayTime = time.Minute
 	// priorBusySeconds is the weight of priorRates in seconds of run time.
 	priorBusySeconds = 0.5
 	// hungRunFactor is the multiple of the mean run time after which an active
 	// run is assumed to make no more calls.
 	hungRunFactor = 2
-	// calledShare is the fraction of idempotent runs that must call a service
-	// for it to count as called by them.
+	// calledShare is the fraction of runs that must call a service or a route for
+	// it to count as called by them.
 	calledShare = 0.1
+	// minIdleSeconds bounds the influence of single requests on a host that is
+	// hardly ever without an active run.
+	minIdleSeconds = 0.2
 )
 
-// priorRates are the calls per second of each source assumed before any were
-// observed.
-var priorRates = [numSources]float64{3, 1, 1}
+// priorRates are the calls per second of each kind of run assumed before any
+// were observed.
+var priorRates = [numSources]float64{3, 1}
 
 func runSource(idempotent bool) callSource {
 	if idempotent {
@@ -70,6 +86,7 @@
 	r := &activeRun{s, retry, c.now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.decay()
 	if c.active == nil {
 		c.active = map[*activeRun]bool{}
 	}
@@ -86,19 +103,20 @@
 	delete(c.active, r)
 	if succeeded {
 		c.completed[r.source]++
+		c.runs++
 		c.busySeconds[r.source] += (c.updated - r.start).Seconds()
 	}
 }
 
-// record records a request for another service that originated on this host. It
-// returns the probabilities that a run made it, and that a retried run did.
-func (c *outboundCalls) record(service string) (byRun, byRetry float64) {
+// record records a request of a route for another service that originated on
+// this host. It returns the probabilities that a run made it, and that a retried
+// run did.
+func (c *outboundCalls) record(route, service string) (byRun, byRetry float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay()
 	var weights [numSources]float64
-	weights[hostClients] = c.rate(hostClients)
-	sum, byRetries := weights[hostClients], 0.0
+	sum, byRetries := 0.0, 0.0
 	for r := range c.active {
 		if c.isHung(r) {
 			continue
@@ -110,14 +128,43 @@
 			byRetries += w
 		}
 	}
+	byRun = 1 - c.clientShare(route, sum == 0)
+	if sum == 0 || byRun == 0 {
+		return 0, 0
+	}
 	for s := range numSources {
-		c.calls[s] += weights[s] / sum
+		c.calls[s] += byRun * weights[s] / sum
 	}
 	if c.byService == nil {
 		c.byService = map[string]float64{}
 	}
-	c.byService[service] += weights[idempotentRuns] / sum
-	return 1 - weights[hostClients]/sum, byRetries / sum
+	c.byService[service] += byRun * weights[idempotentRuns] / sum
+	return byRun, byRun * byRetries / sum
+}
+
+// clientShare counts a request of a route and returns the estimated fraction of
+// the route's requests that other clients on the host make. They make them also
+// while no run is active. A route that few runs could have called is theirs.
+func (c *outboundCalls) clientShare(route string, idle bool) float64 {
+	if c.byRoute == nil {
+		c.byRoute = map[string]*routeCalls{}
+	}
+	r := c.byRoute[route]
+	if r == nil {
+		if len(c.byRoute) >= maxLatencyRoutes {
+			return 1
+		}
+		r = &routeCalls{}
+		c.byRoute[route] = r
+	}
+	r.all++
+	if idle {
+		r.idle++
+	}
+	if r.all < calledShare*c.runs {
+		return 1
+	}
+	return min(1, r.idle/max(c.idle, minIdleSeconds)*c.observed/r.all)
 }
 
 // calledServices returns the services that idempotent runs call.
@@ -139,7 +186,16 @@
 	return n > 0 && (c.updated-r.start).Seconds() > hungRunFactor*c.busySeconds[r.source]/n
 }
 
-// rate returns the calls per second of one active source.
+func (c *outboundCalls) hasActiveRun() bool {
+	for r := range c.active {
+		if !c.isHung(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// rate returns the calls per second of one active run.
 func (c *outboundCalls) rate(s callSource) float64 {
 	return (c.calls[s] + priorBusySeconds*priorRates[s]) / (c.busySeconds[s] + priorBusySeconds)
 }
@@ -157,5 +213,20 @@
 	for service := range c.byService {
 		c.byService[service] *= keep
 	}
-	c.busySeconds[hostClients] += elapsed.Seconds()
+	c.decayRoutes(elapsed)
+}
+
+// decayRoutes reduces the weight of older counts of routes.
+func (c *outboundCalls) decayRoutes(elapsed time.Duration) {
+	keep := math.Exp(-elapsed.Seconds() / routesDecayTime.Seconds())
+	for _, r := range c.byRoute {
+		r.all *= keep
+		r.idle *= keep
+	}
+	c.runs *= keep
+	c.observed = c.observed*keep + elapsed.Seconds()
+	c.idle *= keep
+	if !c.hasActiveRun() {
+		c.idle += elapsed.Seconds()
+	}
 }
--- a/mesh/outboundcalls_test.go
+++ b/mesh/outboundcalls_test.go
@@ -48,7 +48,7 @@
 			}
 			middle := now + k.duration/2
 			events[middle] = append(events[middle], func() {
-				run, retry := c.record("called")
+				run, retry := c.record("nested", "called")
 				estimated += retry
 				onCall(true, run)
 			})
@@ -67,7 +67,7 @@
 			begin(sim.nonIdempotent, nonIdempotentRuns)
 		}
 		if r.Float64() < sim.clientRate*step.Seconds() {
-			run, retry := c.record("other")
+			run, retry := c.record("direct", "other")
 			estimated += retry
 			onCall(false, run)
 		}
@@ -128,13 +128,38 @@
 		{0.9, 200 * time.Millisecond, false}, {0.9, 700 * time.Millisecond, true},
 	} {
 		q := &request{fromRunProb: c.fromRunProb, deadline: deadlineIn(time.Second-c.waited, clock.SinceBoot)}
-		call := &call{q: q, route: &route, start: time.Now().Add(-c.waited)}
+		call := &call{d: &dispatcher{latencies: newLatencies()}, q: q, route: &route, start: time.Now().Add(-c.waited)}
 		if got := call.hasWaited(); got != c.want {
 			t.Errorf("%+v: has waited %v", c, got)
 		}
 	}
 }
 
+// Guards against clients' requests that wait as long as calls of runs, and so
+// beyond their objective, because runs are nearly always active on their host.
+func TestClientRoutesOnBusyHost(t *testing.T) {
+	for name, sim := range map[string]callSimulation{
+		"few requests of clients":  {0.25, runKind{1, 210 * time.Millisecond, 0, 0, 0}, runKind{4, 820 * time.Millisecond, 0.7, 0.05, 0}},
+		"many requests of clients": {2, runKind{2, 1100 * time.Millisecond, 0.7, 0, 0}, runKind{0.5, 820 * time.Millisecond, 0, 0, 0}},
+	} {
+		likely, all := map[bool]int{}, map[bool]int{}
+		for seed := range uint64(20) {
+			sim.run(seed, func(made bool, estimated float64) {
+				all[made]++
+				if estimated > likelyNested {
+					likely[made]++
+				}
+			})
+		}
+		if share := float64(likely[false]) / float64(all[false]); share > 0.25 {
+			t.Errorf("%s: %.2f of the clients' requests are taken for calls of runs", name, share)
+		}
+		if share := float64(likely[true]) / float64(all[true]); share < 0.75 {
+			t.Errorf("%s: only %.2f of the calls of runs are taken for such", name, share)
+		}
+	}
+}
+
 // Guards against runs that fail fast at a target in gray failure and hide the
 // calls of other runs.
 func TestCallRateIgnoresFailedRuns(t *testing.T) {
@@ -143,7 +168,7 @@
 	run := func(took time.Duration, n int, succeeded bool) {
 		r := c.beginRun(idempotentRuns, false)
 		for range n {
-			c.record("called")
+			c.record("nested", "called")
 		}
 		now += took
 		c.endRun(r, succeeded)
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -31,10 +31,12 @@
 	roundPause = 20 * time.Millisecond
 	// minSendTime is the least time that must be left for a request to be sent.
 	minSendTime = 60 * time.Millisecond
-	// maxWaitShare is the fraction of a route's objective for which a request
-	// waits for a target. Under overload, a longer wait only makes more
-	// responses late.
-	maxWaitShare = 0.3
+	// A request waits for a target as long as runsLeftAfterWait mean run times
+	// are left until its objective, so that most responses are in time, but
+	// within minWaitShare and maxWaitShare of the objective.
+	runsLeftAfterWait = 2
+	minWaitShare      = 0.3
+	maxWaitShare      = 0.6
 	// nestedMaxWaitShare is the fraction of its total time for which a nested
 	// call of a target waits, if that is longer: without a response the run
 	// that made the call is lost.
@@ -95,7 +97,8 @@
 // waitLeft returns for how long the request may still wait for a target.
 func (c *call) waitLeft() time.Duration {
 	waited := time.Since(c.start)
-	limit := time.Duration(maxWaitShare * float64(c.route.Objective))
+	objective := float64(c.route.Objective)
+	limit := time.Duration(min(max(objective-runsLeftAfterWait*float64(c.d.latencies.expected(c.route)), minWaitShare*objective), maxWaitShare*objective))
 	if c.q.fromRunProb > likelyNested {
 		limit = max(limit, time.Duration(nestedMaxWaitShare*float64(waited+c.left())))
 	}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -330,7 +330,7 @@
 	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
 	service := c.route.Shares[0].Service
 	if service != n.service.name {
-		q.fromRunProb, q.fromRetryProb = n.outboundCalls.record(service)
+		q.fromRunProb, q.fromRetryProb = n.outboundCalls.record(c.route.Name, service)
 	}
 	resp, err := n.dispatcher.serve(context.WithValue(ctx, classKey{}, c), q, &c.route, service, start)
 	n.sim.mu.Lock()
