Give the last part of the retry budget to orders that have not run

Hypothesis: hedges, retries of reads and orders that a target has shed draw on one budget, first come, first served.

Change: retries of non-idempotent requests, which are made only after proof that the request did not run, may use 0.8 of the allowance, all others 0.6 as before. A retry asks hosts first that state to have budget left.

--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -21,6 +21,11 @@
 	// grant. The rest covers requests that are counted in another window than
 	// their retries, and the random rounding of each host's allowance.
 	budgetShare = 0.6
+	// orderShare is the fraction up to which retries of non-idempotent requests
+	// may use the allowance. They are made only after proof that the request did
+	// not run, and without one it is refused; a retry or hedge of an idempotent
+	// request often only saves time.
+	orderShare = 0.8
 	// nestedCallShare is the fraction up to which the calls that retried runs
 	// make may use the allowance. Beyond it, services that call this one make
 	// no retries.
@@ -58,7 +63,7 @@
 // reserve reserves a slot for a request and counts the request.
 func (b *budget) reserve(ctx context.Context, g *admission.Gate, r admission.Request) (*admission.Reservation, admission.Reason) {
 	b.configure()
-	if r.Retry && (!b.calledServicesAdmit() || !b.window.Allow(b.now())) {
+	if r.Retry && !b.admitRetry(r) {
 		return nil, admission.NoBudget
 	}
 	reserved, reason := g.Reserve(ctx, r)
@@ -72,14 +77,34 @@
 	return reserved, reason
 }
 
+// admitRetry reports whether the allowance permits a retry, and counts it if so.
+func (b *budget) admitRetry(r admission.Request) bool {
+	now := b.now()
+	switch {
+	case !b.calledServicesAdmit():
+		return false
+	case r.Idempotent:
+		return b.window.Allow(now)
+	case b.remaining(orderShare, now) < 1:
+		return false
+	}
+	b.window.Spend(now, 1)
+	return true
+}
+
+// remaining returns how many retries are left until they use a fraction of the
+// service's allowance.
+func (b *budget) remaining(share float64, now time.Duration) float64 {
+	return b.window.Remaining(now) + (share/budgetShare-1)*b.window.Allowance(now)
+}
+
 // available reports whether a retry would be admitted, and whether a retried
 // run at another service may call this one.
 func (b *budget) available() (retries, calls bool) {
 	b.configure()
 	now := b.now()
-	left := b.window.Remaining(now)
-	retries = left >= 1 && b.calledServicesAdmit()
-	return retries, left+(nestedCallShare/budgetShare-1)*b.window.Allowance(now) >= 0
+	retries = b.window.Remaining(now) >= 1 && b.calledServicesAdmit()
+	return retries, b.remaining(nestedCallShare, now) >= 0
 }
 
 // servicesAdmitCalls reports whether at least half of the hosts of each service
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -273,3 +273,22 @@
 		t.Errorf("%.3f of %d calls of orders were refused although other zones had free slots", refused, x.all)
 	}
 }
+
+// Guards against orders that are refused after one target has shed them while
+// the operators' budget permits another attempt. All targets shed half of their
+// requests; an attempt at a second target succeeds as often, so retries up to the
+// ratio of the budget serve a tenth of the orders more.
+func TestShedOrdersAreRetried(t *testing.T) {
+	const shedShare = 0.5
+	got := runSimulations(t, 2, func(seed uint64) *simulation {
+		sim := threeServices(seed)
+		sim.mode, sim.grayShare, sim.failShare = shedding, 1, shedShare
+		sim.classes[1].callShare = 0
+		return sim
+	})
+	order := got["order"]
+	ratio := (&simulation{}).policy().Ratio
+	if least := (1 - shedShare) * (1 + ratio) * (1 - errorShare); 1-float64(order.refused)/float64(order.all) < least {
+		t.Errorf("%.3f of %d orders were refused, want at most %.3f", float64(order.refused)/float64(order.all), order.all, 1-least)
+	}
+}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -185,7 +185,7 @@
 // rankedHosts returns all host nodes of the service, best first for a round.
 func (c *call) rankedHosts(round int) []placement.Candidate {
 	return c.d.view.Rank(placement.Request{
-		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round),
+		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, MaxRisk: c.maxRisk(round),
 		Download: c.route.Download, Tried: append(slices.Clone(c.tried), c.outOfBudget...),
 	})
 }
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -54,6 +54,7 @@
 	noResponse        failureMode = iota // no response until the caller disconnects
 	connectionReset                      // the connection is reset at once
 	connectionRefused                    // no connection is accepted, so no request runs
+	shedding                             // the target states at once that it did not run the request
 )
 
 type simService struct {
@@ -453,6 +454,8 @@
 			return nil, admission.TransportError, resultcode.New(resultcode.TargetError, "reset")
 		case connectionRefused:
 			return nil, admission.TransportError, notRun(resultcode.NoTarget, "connection refused")
+		case shedding:
+			return nil, admission.Neutral, notRun(resultcode.ShedByTarget, "shed")
 		}
 		<-ctx.Done()
 		return nil, outcomeOfError(ctx, ctx.Err()), resultOfError(ctx, ctx.Err())
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -13,6 +13,7 @@
 	Idempotent bool
 	NoRetry    bool     // idempotent, but could not be retried after a failure, so it is no trial request
 	Download   bool     // the response is large, so traffic between availability zones matters
+	Retry      bool     // an earlier attempt reached a target
 	MaxRisk    float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
 	Tried      []string // addresses of the hosts that are excluded
 	testIdle   bool     // many targets are idle, so non-idempotent requests test them too
@@ -40,6 +41,7 @@
 // Penalties that rank a class of hosts behind all hosts with smaller ones.
 const (
 	refusedPenalty = 4
+	noRetryPenalty = 8 // for retries: the host had no retry budget left
 	stalePenalty   = 16
 	ejectedPenalty = 256
 )
@@ -189,6 +191,9 @@
 	if c.RecentlyRefused {
 		c.score += refusedPenalty
 	}
+	if r.Retry && !s.AdmitsRetries {
+		c.score += noRetryPenalty
+	}
 	if now-h.lastHeard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
 		c.score += stalePenalty
 	}
