Do not blame a target for errors that its failed calls cause

Hypothesis: a run whose call to another service fails ends with a 500, and that counts as evidence against the target that made the call. So when arkiv is short, targets of bestilling are ejected or get no orders.

Change: the entry node knows when a call failed that a run beside it probably made. An error response within 200 ms after it is inconclusive (call_failed).

--- a/admission/detector.go
+++ b/admission/detector.go
@@ -12,6 +12,7 @@
 	ServerError                   // the target responded with a server error
 	TransportError                // no connection, or the response was reset, cut off or malformed
 	Timeout                       // no response within the request's time limit
+	CallFailed                    // inconclusive: a server error, probably because a call that the target made failed
 )
 
 // DetectorConfig holds the parameters of a Detector.
@@ -129,7 +130,7 @@
 func (d *Detector) Observe(o Outcome, zone string, start, now time.Duration) (changed bool) {
 	before := d.Ejected()
 	d.observeState(o, start, now)
-	if o != Success && o != Neutral {
+	if o != Success && o != Neutral && o != CallFailed {
 		d.recordFailureTime(now - start)
 	}
 	switch o {
@@ -245,7 +246,7 @@
 	d.needed = max(d.needed, needed)
 }
 
-var outcomeNames = [...]string{"neutral", "good", "error_answer", "broken", "silent"}
+var outcomeNames = [...]string{"neutral", "good", "error_answer", "broken", "silent", "call_failed"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -88,6 +88,9 @@
 		q.fromRunProb, q.fromRetryProb = e.outboundCalls.record(route.Name, service)
 	}
 	resp, err := e.dispatcher.serve(ctx, q, route, service, start)
+	if q.fromRunProb > likelyNested && (err != nil || isErrorResponse(resp)) {
+		e.outboundCalls.recordFailure()
+	}
 	if err != nil {
 		return route, err
 	}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -69,6 +69,9 @@
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
+	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
+		outcome = admission.CallFailed
+	}
 	h.outboundCalls.endRun(run, outcome == admission.Success)
 	h.metrics.target(outcome, time.Since(start))
 	if err != nil {
@@ -83,6 +86,11 @@
 	return resp, err
 }
 
+// isErrorResponse reports whether the target responded with a server error.
+func isErrorResponse(resp *response) bool {
+	return resp != nil && resp.status >= http.StatusInternalServerError
+}
+
 // releasingBody releases the slot when a streamed response ends.
 type releasingBody struct {
 	io.ReadCloser
--- a/mesh/outboundcalls.go
+++ b/mesh/outboundcalls.go
@@ -25,6 +25,7 @@
 	runs        float64                // runs that succeeded, weighted like the requests in byRoute
 	observed    float64                // seconds
 	idle        float64                // seconds of observed without an active run
+	failedCalls []time.Duration        // ends of failed calls that no failed run is attributed to
 }
 
 // routeCalls counts the requests of one route that originated on this host.
@@ -57,6 +58,10 @@
 	// only few requests are made while no run is active, and a route's callers
 	// hardly change.
 	routesDecayTime = time.Minute
+	// failedCallWindow is how soon after a failed call the run that made it fails.
+	failedCallWindow = 200 * time.Millisecond
+	// maxFailedCalls bounds the failed calls that are remembered.
+	maxFailedCalls = 64
 	// priorBusySeconds is the weight of priorRates in seconds of run time.
 	priorBusySeconds = 0.5
 	// hungRunFactor is the multiple of the mean run time after which an active
@@ -142,6 +147,33 @@
 	return byRun, byRun * byRetries / sum
 }
 
+// recordFailure records that a call failed which a run probably made.
+func (c *outboundCalls) recordFailure() {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedCalls = append(c.failedCalls, now)
+	if len(c.failedCalls) > maxFailedCalls {
+		c.failedCalls = c.failedCalls[1:]
+	}
+}
+
+// explainFailure reports whether a run that failed now did so because a call
+// that it made had failed. Each failed call explains one failed run.
+func (c *outboundCalls) explainFailure() bool {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.failedCalls) > 0 {
+		end := c.failedCalls[0]
+		c.failedCalls = c.failedCalls[1:]
+		if now-end <= failedCallWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // clientShare counts a request of a route and returns the estimated fraction of
 // the route's requests that other clients on the host make. They make them also
 // while no run is active. A route that few runs could have called is theirs.
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -34,6 +34,7 @@
 	// probability grayShare, and not for the first part of every period.
 	wholePeriods bool
 	failShare    float64 // fraction of its requests that such a target fails
+	grayService  string  // the only service with gray failures; all if empty
 	duration     time.Duration
 	burst        float64 // factor on the request rate in the middle third
 	cutShare     float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
@@ -137,6 +138,9 @@
 
 // inGrayFailure reports whether the target is failing at the given time.
 func (n *simNode) inGrayFailure(now time.Duration) bool {
+	if n.sim.grayService != "" && n.service.name != n.sim.grayService {
+		return false
+	}
 	if n.sim.wholePeriods {
 		period := uint64((now + n.phase) / n.sim.period)
 		return rand.New(rand.NewPCG(uint64(n.phase), period)).Float64() < n.sim.grayShare
@@ -334,6 +338,9 @@
 		q.fromRunProb, q.fromRetryProb = n.outboundCalls.record(c.route.Name, service)
 	}
 	resp, err := n.dispatcher.serve(context.WithValue(ctx, classKey{}, c), q, &c.route, service, start)
+	if q.fromRunProb > likelyNested && (err != nil || isErrorResponse(resp)) {
+		n.outboundCalls.recordFailure()
+	}
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
 	t := n.sim.tallyOf(c.route.Name)
@@ -411,6 +418,9 @@
 	wasGray := s.host.inGrayFailure(s.host.sim.fleetNow())
 	run := s.host.outboundCalls.beginRun(runSource(s.req.Idempotent), s.req.Retry)
 	resp, outcome, err := s.host.runTarget(context.WithValue(ctx, retryKey{}, s.req.Retry), ctx.Value(classKey{}).(*simClass))
+	if isErrorResponse(resp) && s.host.outboundCalls.explainFailure() {
+		outcome = admission.CallFailed
+	}
 	s.host.outboundCalls.endRun(run, outcome == admission.Success)
 	s.reserved.Release(outcome)
 	if err != nil && wasGray {
