Derive Retry-After from the queues of the service

Cause: every refusal named 300 ms, whatever the queue, so callers that are refused under overload all returned at once and met the same queue.

Change: a refusal names the time that the queues of the service's healthy targets need, between 100 ms and 5 s, plus a random part of up to as much, so that callers which were refused together return one after the other; 300 ms where no healthy target is known.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,9 +12,15 @@
 	"hyssopbridge/resultcode"
 )
 
-// retryAfter is the wait suggested to a caller whose request was refused. It
-// exceeds the time in which an ejected target returns or a slot becomes free.
-const retryAfter = 300 * time.Millisecond
+const (
+	// defaultRetryAfter is the wait suggested to a caller whose request was
+	// refused, if nothing is known of the service's queues. In this time most
+	// ejected targets return.
+	defaultRetryAfter = 300 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the suggested wait.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
 
 // entryNode serves the callers on this host.
 type entryNode struct {
@@ -48,7 +55,40 @@
 	}
 	resultErr := asResultError(err)
 	e.log.requestFailed(r.Header.Get(e.headers.RequestID), route, resultErr, time.Since(start))
-	e.writeError(w, r, resultErr)
+	e.writeError(w, r, resultErr, retryAfterOf(err))
+}
+
+// refusedError is the error of a request for which the dispatcher got no
+// response, with the time after which its caller may try again.
+type refusedError struct {
+	err        error
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (e refusedError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e refusedError) Unwrap() error { return e.err }
+
+func retryAfterOf(err error) time.Duration {
+	var refused refusedError
+	if errors.As(err, &refused) {
+		return refused.retryAfter
+	}
+	return defaultRetryAfter
+}
+
+// retryAfter returns when a caller whose request was refused may try again: after
+// the time that the queues of the service need, and up to twice that, so that
+// callers which are refused together return one after the other.
+func (d *dispatcher) retryAfter(route *dynamic.Route, service string) time.Duration {
+	wait, ok := d.view.TimeToSlot(service, d.latencies.expected(route))
+	if !ok {
+		wait = defaultRetryAfter
+	}
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return wait + time.Duration(rand.Int64N(int64(wait)))
 }
 
 // abortError is a failure after the first byte of the response was sent.
@@ -92,7 +132,7 @@
 		e.outboundCalls.recordFailure()
 	}
 	if err != nil {
-		return route, err
+		return route, refusedError{err, e.dispatcher.retryAfter(route, service)}
 	}
 	defer resp.close()
 	if err := writeResponse(w, r.Method, resp); err != nil {
@@ -149,14 +189,14 @@
 
 // writeError responds with an error of this node. Status 503 guarantees that
 // the request was not run; 502 and 504 leave open whether it was.
-func (e *entryNode) writeError(w http.ResponseWriter, r *http.Request, resultErr *resultcode.Error) {
+func (e *entryNode) writeError(w http.ResponseWriter, r *http.Request, resultErr *resultcode.Error, retryAfter time.Duration) {
 	h := w.Header()
 	status := resultErr.Code.Status()
 	switch {
 	case status >= 400 && status < 500 && resultErr.Ran == resultcode.RanNo && resultErr.Code != resultcode.RateLimited:
 	case resultErr.Ran == resultcode.RanNo:
 		status = http.StatusServiceUnavailable
-		h[http.CanonicalHeaderKey(e.headers.RetryAfter)] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64)}
+		h[http.CanonicalHeaderKey(e.headers.RetryAfter)] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
 	case resultErr.Code == resultcode.Timeout:
 		status = http.StatusGatewayTimeout
 	default:
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -305,3 +305,28 @@
 		}
 	}
 }
+
+// Guards against callers that are told to come back while the queues of the
+// service are still as long, and against counting targets that serve nothing.
+func TestTimeToSlot(t *testing.T) {
+	v := newTestView()
+	if _, ok := v.TimeToSlot("s", time.Second); ok {
+		t.Error("time known without a target")
+	}
+	v.Update(Host{"ejected", "z1"}, ejected(0))
+	if _, ok := v.TimeToSlot("s", time.Second); ok {
+		t.Error("time known without a healthy target")
+	}
+	v.Update(Host{"free", "z1"}, healthy(5, 2))
+	if wait, ok := v.TimeToSlot("s", time.Second); !ok || wait != 0 {
+		t.Errorf("time %v, known %v with free slots", wait, ok)
+	}
+	full := healthy(5, 5)
+	full.Waiting = 12
+	v.Update(Host{"full", "z2"}, full)
+	// 19 requests run or wait, so 10 have to end before the next one gets one of
+	// the ten slots.
+	if wait, _ := v.TimeToSlot("s", time.Second); wait != time.Second {
+		t.Errorf("time %v with ten requests ahead on ten slots", wait)
+	}
+}
