Decide on a waiting request where its slot is granted

Restart kept the factor by which the predecessor's requests were slower than usual.

Change: dispatch makes the reservation; Restart resets the factor.

Result: TestGrantIsDecidedOnce and TestRestartForgetsSlowness; the first one does not compile against the old type of the queue, whose reservation was made by acceptGrant.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -136,7 +136,13 @@
 
 type waiter struct {
 	req  Request
-	done chan Reason // receives None when a slot is granted; capacity 1
+	done chan decision // capacity 1
+}
+
+// decision is the answer to a request that waited for a slot.
+type decision struct {
+	reservation *Reservation // nil if the request was refused
+	reason      Reason
 }
 
 // NewGate returns a Gate without a target. now is a monotonic clock; onChange
@@ -176,7 +182,7 @@
 // Restart resets the failure detector after the target restarted under its ID.
 func (g *Gate) Restart() {
 	g.mu.Lock()
-	g.detector = NewDetector(g.detectorCfg)
+	g.detector, g.overdueFactor = NewDetector(g.detectorCfg), 1
 	g.mu.Unlock()
 }
 
@@ -316,7 +322,7 @@
 	if estimate := g.holdTime * time.Duration(at+1) / time.Duration(g.target.Slots); estimate > req.MaxWait {
 		return nil
 	}
-	w := &waiter{req: req, done: make(chan Reason, 1)}
+	w := &waiter{req: req, done: make(chan decision, 1)}
 	g.waiters = append(g.waiters, nil)
 	copy(g.waiters[at+1:], g.waiters[at:])
 	g.waiters[at] = w
@@ -328,38 +334,25 @@
 	defer timer.Stop()
 	reason := CallerLeft
 	select {
-	case reason = <-w.done:
-		return g.acceptGrant(w, reason)
+	case d := <-w.done:
+		return d.reservation, d.reason
 	case <-timer.C:
 		reason = TargetBusy
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	if g.removeWaiter(w) {
-		g.mu.Unlock()
-		return nil, reason
-	}
+	removed := g.removeWaiter(w)
 	g.mu.Unlock()
-	// A slot was granted or refused concurrently.
-	r, got := g.acceptGrant(w, <-w.done)
-	if r != nil && reason == CallerLeft {
-		r.Release(Neutral)
+	if removed {
 		return nil, reason
 	}
-	return r, got
-}
-
-// acceptGrant turns the slot that dispatch counted for the waiter into a
-// reservation.
-func (g *Gate) acceptGrant(w *waiter, reason Reason) (*Reservation, Reason) {
-	if reason != None {
+	// A slot was granted or refused concurrently.
+	d := <-w.done
+	if d.reservation != nil && reason == CallerLeft {
+		d.reservation.Release(Neutral)
 		return nil, reason
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	// dispatch has counted the slot, and grant counts it again.
-	g.running--
-	return g.grant(w.req), None
+	return d.reservation, d.reason
 }
 
 func (g *Gate) removeWaiter(w *waiter) bool {
@@ -378,17 +371,17 @@
 	for g.running < g.target.Slots && len(g.waiters) > 0 {
 		w := g.waiters[0]
 		g.waiters = g.waiters[1:]
-		reason := g.check(w.req)
-		if reason == None {
-			g.running++
+		d := decision{reason: g.check(w.req)}
+		if d.reason == None {
+			d.reservation = g.grant(w.req)
 		}
-		w.done <- reason
+		w.done <- d
 	}
 }
 
 func (g *Gate) refuseWaiters(reason Reason) {
 	for _, w := range g.waiters {
-		w.done <- reason
+		w.done <- decision{reason: reason}
 	}
 	g.waiters = nil
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -242,3 +242,37 @@
 	mustRefuse(t, g, noRetry, TargetEjected)
 	mustReserve(t, g, idempotent())
 }
+
+// Guards against an order that waited for a slot and becomes the trial request
+// of a target that was ejected just after the slot was granted.
+func TestGrantIsDecidedOnce(t *testing.T) {
+	g, _ := testGate(1)
+	running := mustReserve(t, g, nonIdempotent())
+	g.mu.Lock()
+	r := nonIdempotent()
+	r.MaxWait = time.Minute
+	w := g.enqueue(r)
+	g.mu.Unlock()
+	running.Release(Success)
+	g.mu.Lock()
+	g.detector.Observe(TransportError, "z", g.now(), g.now())
+	g.mu.Unlock()
+	res, reason := g.wait(context.Background(), w)
+	if res == nil || res.Trial() {
+		t.Errorf("reservation %v, reason %s", res, reason)
+	}
+	if n := g.Status().Running; n != 1 {
+		t.Errorf("%d slots in use, want 1", n)
+	}
+}
+
+// Guards against a restarted target whose requests count as overdue as late as
+// those of its slow predecessor.
+func TestRestartForgetsSlowness(t *testing.T) {
+	g, c := testGate(1)
+	g.adjustOverdueFactor(true)
+	g.Restart()
+	if after := g.overdueAfter(500*ms, c.get()); after != 500*ms {
+		t.Errorf("a request is overdue after %v, want 500 ms", after)
+	}
+}
