--- a/admission/belief.go
+++ b/admission/belief.go
@@ -82,7 +82,7 @@
 	return 0, 0, false
 }
 
-// observe applies an outcome to the estimate. A success of a request that
+// observeState applies an outcome to the belief. A success of a request that
 // started before the newest failed one shows nothing about the target's state
 // after that.
 func (d *Detector) observeState(o Outcome, start, now time.Duration) {
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -6,10 +6,10 @@
 // slots, keeps a short priority queue, and ejects the target while it fails. An
 // ejected target gets single idempotent requests as trial requests and returns
 // to service after enough of them succeed. Non-idempotent requests are admitted
-// only to a target with a recent success, because each one that reaches a
-// target whose gray failure is not yet detected is lost.
+// only while the risk is low, the probability that they fail because the target
+// is still or again in a gray failure: each one that does is lost.
 //
-// Detector decides from request outcomes whether the target is ejected; Gate
-// combines this with slots, queue and draining. Both do no I/O and take the
-// time from their caller.
+// Detector decides from request outcomes whether the target is ejected, and its
+// belief how probable a gray failure is; Gate combines this with slots, queue and
+// draining. Both do no I/O and take the time from their caller.
 package admission
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,16 +11,6 @@
 	"hyssopbridge/resultcode"
 )
 
-const (
-	// defaultRetryAfter is the wait suggested to a caller whose request was
-	// refused, if nothing is known of the service's queues. In this time most
-	// ejected targets return.
-	defaultRetryAfter = 300 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the suggested wait.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
-)
-
 // entryNode serves the callers on this host.
 type entryNode struct {
 	dispatcher    *dispatcher
@@ -58,39 +47,6 @@
 	e.writeError(w, r, resultErr, retryAfterOf(err))
 }
 
-// refusedError is the error of a request for which the dispatcher got no
-// response, with the time after which its caller may try again.
-type refusedError struct {
-	err        error
-	retryAfter time.Duration
-}
-
-// Error implements error.
-func (e refusedError) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e refusedError) Unwrap() error { return e.err }
-
-func retryAfterOf(err error) time.Duration {
-	var refused refusedError
-	if errors.As(err, &refused) {
-		return refused.retryAfter
-	}
-	return defaultRetryAfter
-}
-
-// retryAfter returns when a caller whose request was refused may try again: after
-// the time that the queues of the service need, and up to twice that, so that
-// callers which are refused together return one after the other.
-func (d *dispatcher) retryAfter(route *dynamic.Route, service string) time.Duration {
-	wait, ok := d.view.TimeToSlot(service, d.latencies.expected(route))
-	if !ok {
-		wait = defaultRetryAfter
-	}
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(rand.Int64N(int64(wait)))
-}
-
 // abortError is a failure after the first byte of the response was sent.
 type abortError struct{ err error }
 
--- a/mesh/outboundcalls.go
+++ b/mesh/outboundcalls.go
@@ -30,8 +30,9 @@
 
 // routeCalls counts the requests of one route that originated on this host.
 type routeCalls struct {
-	all  float64
-	idle float64 // those that were made without an active run, so by other clients
+	updated time.Duration
+	all     float64
+	idle    float64 // those that were made without an active run, so by other clients
 }
 
 // activeRun is a run that has not ended.
@@ -133,7 +134,7 @@
 			byRetries += w
 		}
 	}
-	byRun = 1 - c.clientShare(route, sum == 0)
+	byRun = 1 - c.recordRoute(route, sum == 0)
 	if sum == 0 || byRun == 0 {
 		return 0, 0
 	}
@@ -174,10 +175,10 @@
 	return false
 }
 
-// clientShare counts a request of a route and returns the estimated fraction of
+// recordRoute counts a request of a route and returns the estimated fraction of
 // the route's requests that other clients on the host make. They make them also
 // while no run is active. A route that few runs could have called is theirs.
-func (c *outboundCalls) clientShare(route string, idle bool) float64 {
+func (c *outboundCalls) recordRoute(route string, idle bool) (clientShare float64) {
 	if c.byRoute == nil {
 		c.byRoute = map[string]*routeCalls{}
 	}
@@ -189,7 +190,8 @@
 		r = &routeCalls{}
 		c.byRoute[route] = r
 	}
-	r.all++
+	keep := routesDecay(c.updated - r.updated)
+	r.all, r.idle, r.updated = r.all*keep+1, r.idle*keep, c.updated
 	if idle {
 		r.idle++
 	}
@@ -218,6 +220,12 @@
 	return n > 0 && (c.updated-r.start).Seconds() > hungRunFactor*c.busySeconds[r.source]/n
 }
 
+// routesDecay returns the weight that counts of routes keep after a time.
+func routesDecay(elapsed time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / routesDecayTime.Seconds())
+}
+
+// hasActiveRun reports whether a run is active that may still make calls.
 func (c *outboundCalls) hasActiveRun() bool {
 	for r := range c.active {
 		if !c.isHung(r) {
@@ -245,19 +253,10 @@
 	for service := range c.byService {
 		c.byService[service] *= keep
 	}
-	c.decayRoutes(elapsed)
-}
-
-// decayRoutes reduces the weight of older counts of routes.
-func (c *outboundCalls) decayRoutes(elapsed time.Duration) {
-	keep := math.Exp(-elapsed.Seconds() / routesDecayTime.Seconds())
-	for _, r := range c.byRoute {
-		r.all *= keep
-		r.idle *= keep
-	}
-	c.runs *= keep
-	c.observed = c.observed*keep + elapsed.Seconds()
-	c.idle *= keep
+	keepRoutes := routesDecay(elapsed)
+	c.runs *= keepRoutes
+	c.observed = c.observed*keepRoutes + elapsed.Seconds()
+	c.idle *= keepRoutes
 	if !c.hasActiveRun() {
 		c.idle += elapsed.Seconds()
 	}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -97,14 +97,21 @@
 // waitLeft returns for how long the request may still wait for a target.
 func (c *call) waitLeft() time.Duration {
 	waited := time.Since(c.start)
-	objective := float64(c.route.Objective)
-	limit := time.Duration(min(max(objective-runsLeftAfterWait*float64(c.d.latencies.expected(c.route)), minWaitShare*objective), maxWaitShare*objective))
+	limit := targetWait(c.route.Objective, c.d.latencies.expected(c.route))
 	if c.q.fromRunProb > likelyNested {
 		limit = max(limit, time.Duration(nestedMaxWaitShare*float64(waited+c.left())))
 	}
 	return limit - waited
 }
 
+// targetWait returns for how long a request waits for a target if it is to end
+// within its objective and runs for runTime on average.
+func targetWait(objective, runTime time.Duration) time.Duration {
+	least := time.Duration(minWaitShare * float64(objective))
+	most := time.Duration(maxWaitShare * float64(objective))
+	return min(max(objective-runsLeftAfterWait*runTime, least), most)
+}
+
 func (c *call) endedError() error {
 	if errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
 		return notRun(resultcode.DeadlineTooShort, "deadline passed before a target accepted the request")
