review: machines keep an old configuration when its readers are lost

Cause: one node of a zone reads the configuration from the store, and the others rely on it for 2.5 s after its last heartbeat (readerTimeout), then wait for their turn. If all readers are lost at the moment of a change, that exceeds the 2 s of config_s.

The script ends the three readers of nine nodes for good.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 // was broken.
 var cases = map[string]func(rec *record, trouble bool, onFleet func(*fleet)) (broken bool, err error){
 	"copied-refusal": copiedRefusal,
+	"readers-lost":   readersLost,
 }
 
 func main() { os.Exit(realMain()) }
