review: a restarted node uses an instance that had left

Cause: a node acknowledges that an instance leaves before that is saved in the store. A later process of the node that could not read the record takes a delayed heartbeat of the instance for a new one, and doesn't correct that when the store is back.

The case takes the store down for 4.5 s, withdraws an instance, kills its node and delivers a heartbeat 2.5 s late.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(rec *record, trouble bool, onFleet func(*fleet)) (broken bool, err error){
 	"copied-refusal": copiedRefusal,
 	"readers-lost":   readersLost,
+	"late-heartbeat": lateHeartbeat,
 }
 
 func main() { os.Exit(realMain()) }
