review: a node acknowledges that an instance drains and goes on using it

Cause: platform/heartbeat.go ignores, but acknowledges, each heartbeat whose start time is earlier than that of the incarnation that it knows. After a step of the machine's clock a restarted instance may bear an earlier time.

The case restarts an instance under its ID before and after the end of a step of 2.4 s, waits 7 s and lets it drain.

--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -129,3 +129,67 @@
 	rec.add("%d requests reached instance %s later than %v after the acknowledgement, %d more while not all machines were in touch", late, i.id, drainBound, excused)
 	return late > 0
 }
+
+const (
+	clockStep = 2400 * time.Millisecond // clock_step, how ahead, x = 2400
+	stepTime  = 6 * time.Second         // for_s = 6.0
+	flapGap   = 1400 * time.Millisecond // srv_flap, gap_s = 1.4
+)
+
+// earlierBirth restarts an instance under its ID around the end of a step of its
+// machine's clock, so that its second start bears an earlier time than its
+// first. Later the instance drains. It checks that the instance gets no request
+// after that.
+func earlierBirth(rec *record, trouble bool, onFleet func(*fleet)) (bool, error) {
+	f, instances, stop, err := startDrainFleet(rec, onFleet)
+	if err != nil {
+		return false, err
+	}
+	defer stop()
+	i, n := instances[0], f.nodes[0]
+	stepEnd := time.Now().Add(stepTime)
+	if trouble {
+		rec.add("the time of day at node 0 is %v ahead", clockStep)
+		time.Sleep(time.Until(stepEnd.Add(-flapGap / 2)))
+		i.crash()
+		if i, err = restartInstance(n, i, time.Now().Add(clockStep)); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Until(stepEnd))
+		rec.add("the time of day at node 0 is right again")
+		time.Sleep(flapGap / 2)
+		i.crash()
+		if i, err = restartInstance(n, i, time.Now()); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(touchTime + 4*time.Second)
+	i.setLeaving()
+	if !i.heartbeat() {
+		return false, fmt.Errorf("the heartbeat of the draining instance was not acknowledged")
+	}
+	acknowledged := time.Now()
+	rec.add("instance %s: its draining is acknowledged", i.id)
+	time.Sleep(servesOn / 2)
+	i.call(http.MethodDelete, "")
+	i.crash()
+	return checkDrained(rec, i, acknowledged, acknowledged), nil
+}
+
+// restartInstance starts a new incarnation under the ID of a crashed one.
+func restartInstance(n *node, old *instance, born time.Time) (*instance, error) {
+	time.Sleep(flapGap / 4) // it is down for a moment
+	i := newInstance(n, old.id, born.UnixMilli(), old.runTime)
+	var err error
+	for range 20 {
+		if err = i.listen(); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		return nil, err
+	}
+	go i.beat()
+	return i, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 	"copied-refusal": copiedRefusal,
 	"readers-lost":   readersLost,
 	"late-heartbeat": lateHeartbeat,
+	"earlier-birth":  earlierBirth,
 }
 
 func main() { os.Exit(realMain()) }
