--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -60,7 +60,6 @@
 	process *os.Process
 	exited  chan struct{}
 	ends    bool // a signal of the case ends the process
-	died    bool // the process ended by itself
 	first   bool // the whole system starts for the first time
 }
 
@@ -160,7 +159,6 @@
 		_ = cmd.Wait() // the state of the process is not needed
 		n.mu.Lock()
 		if !n.ends {
-			n.died = true
 			n.fleet.rec.add("node %d ended by itself", n.index)
 		}
 		n.mu.Unlock()
@@ -248,16 +246,3 @@
 		fmt.Println("logs are in", f.dir)
 	}
 }
-
-// died reports whether a process ended by itself.
-func (f *fleet) died() bool {
-	for _, n := range f.nodes {
-		n.mu.Lock()
-		died := n.died
-		n.mu.Unlock()
-		if died {
-			return true
-		}
-	}
-	return false
-}
