--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -60,6 +60,7 @@
 	process *os.Process
 	exited  chan struct{}
 	ends    bool // a signal of the case ends the process
+	closed  bool // the case has ended, so no process may start
 	first   bool // the whole system starts for the first time
 }
 
@@ -137,6 +138,9 @@
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.closed {
+		return fmt.Errorf("node %d: the case has ended", n.index)
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start node %d: %w", n.index, err)
 	}
@@ -220,6 +224,9 @@
 // close ends all processes and removes the temporary folder.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
+		n.mu.Lock()
+		n.closed = true
+		n.mu.Unlock()
 		n.kill()
 		n.log.Close()
 		n.toStore.listener.Close()
