mesh: log whether a target had refused a request before

A request keeps its ID when it is sent again, so the log could not tell a target's second refusal from a late copy of its first. The line "target failed a request" has the field resent now, and mesh_foreign_answers_total counts the answers that are discarded because no request waits for them.

No decision uses this yet. Tests of the protocol and of the metrics page pass.

--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -54,10 +54,19 @@
 	l.log.WithFields(log.Fields{"request": id, "host": addr, "error": err.Error()}).Info("host node not reached")
 }
 
-func (l *eventLog) targetFailed(id string, r admission.Request, trial bool, outcome admission.Outcome, err error, took time.Duration) {
+// targetFailure describes an exchange without a response for the caller.
+type targetFailure struct {
+	outcome admission.Outcome
+	err     error
+	took    time.Duration
+	trial   bool
+	resent  bool // the target had refused the same request before
+}
+
+func (l *eventLog) targetFailed(id string, r admission.Request, f targetFailure) {
 	l.log.WithFields(log.Fields{
-		"request": id, "target": r.Target, "entry_zone": r.Zone, "trial": trial,
-		"evidence": outcome.String(), "took_ms": took.Milliseconds(), "error": err.Error(),
+		"request": id, "target": r.Target, "entry_zone": r.Zone, "trial": f.trial, "resent": f.resent,
+		"evidence": f.outcome.String(), "took_ms": f.took.Milliseconds(), "error": f.err.Error(),
 	}).Info("target failed a request")
 }
 
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -19,6 +19,10 @@
 // reused, unless the target states a shorter idle timeout.
 const maxTargetIdle = 4 * time.Second
 
+// metricForeignAnswers counts responses of the target that were discarded
+// because they belong to no request that was waiting for one.
+const metricForeignAnswers = "mesh_foreign_answers_total"
+
 // streamThreshold is the body size above which the request is sent while the
 // response is read, since a target may respond before it has read a long body.
 const streamThreshold = 16 << 10
@@ -30,6 +34,8 @@
 type exchange struct {
 	client        *upstream.Client
 	headers       *Headers
+	metrics       *metrics
+	refused       *refusedRequests
 	addr          string
 	targetID      string // ID of the target that must run the request
 	callerService string // service of the host at which the request originated
@@ -51,6 +57,7 @@
 	}
 	if e := x.refusalError(httpResp); e != nil {
 		httpResp.Body.Close()
+		x.refused.add(q.id, q.deadline.left())
 		return nil, admission.Neutral, e
 	}
 	if e := x.validateResponse(httpResp); e != nil {
@@ -78,7 +85,11 @@
 func (x *exchange) matcher(id string) func(*http.Response, bool) bool {
 	return func(r *http.Response, fresh bool) bool {
 		got := r.Header.Get(x.headers.RequestID)
-		return got == id || (got == "" && fresh && x.isRefusal(r))
+		matches := got == id || (got == "" && fresh && x.isRefusal(r))
+		if !matches {
+			x.metrics.count(metricForeignAnswers)
+		}
+		return matches
 	}
 }
 
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -24,6 +24,7 @@
 	gate          *admission.Gate
 	client        *upstream.Client
 	headers       *Headers
+	refused       *refusedRequests
 	log           *eventLog
 	metrics       *metrics
 	outboundCalls *outboundCalls
@@ -65,7 +66,11 @@
 		return nil, notRun(resultcode.DeadlineTooShort, "deadline passed before the request was sent")
 	}
 	ctx, cancel := q.deadline.context(ctx, 0)
-	x := exchange{client: h.client, headers: h.headers, addr: h.targetAddr(), targetID: r.Target, callerService: q.header.Get(h.headers.CallerService)}
+	x := exchange{
+		client: h.client, headers: h.headers, metrics: h.metrics, refused: h.refused,
+		addr: h.targetAddr(), targetID: r.Target, callerService: q.header.Get(h.headers.CallerService),
+	}
+	resent := h.refused.has(q.id)
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
@@ -75,7 +80,7 @@
 	h.outboundCalls.endRun(run, outcome == admission.Success)
 	h.metrics.target(outcome, time.Since(start))
 	if err != nil {
-		h.log.targetFailed(q.id, r, reserved.Trial(), outcome, err, time.Since(start))
+		h.log.targetFailed(q.id, r, targetFailure{outcome, err, time.Since(start), reserved.Trial(), resent})
 	}
 	if resp == nil || resp.rest == nil {
 		reserved.Release(outcome)
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -21,6 +21,7 @@
 	m.target(admission.Success, time.Millisecond)
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
+	m.count(metricForeignAnswers)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -98,7 +98,7 @@
 	n.targetClient = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
 	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
 	n.hostNode = &hostNode{
-		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, log: n.log, metrics: n.metrics,
+		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
 		now: n.now, outboundCalls: &outboundCalls{now: n.now}, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, n.calledServicesAdmit, n.cfg.Seed),
 	}
--- a/mesh/protocol_test.go
+++ b/mesh/protocol_test.go
@@ -102,7 +102,7 @@
 	now := func() time.Duration { return time.Since(started) }
 	h.hostNode = &hostNode{
 		gate: admission.NewGate(now, admission.DefaultDetectorConfig(), nil), headers: &testHeaders,
-		client: upstream.NewClient(upstream.Config{Dial: h.target.dial}), metrics: newMetrics(),
+		client: upstream.NewClient(upstream.Config{Dial: h.target.dial}), metrics: newMetrics(), refused: newRefusedRequests(),
 		log: discardEventLog(), targetAddr: func() string { return "target" },
 		reservations: map[string]heldReservation{}, now: now, outboundCalls: &outboundCalls{now: now},
 		budget: newBudget(now, func() RetryPolicy { return RetryPolicy{1, 100} }, func() int { return 1 }, func() bool { return true }, 1),
