mesh: send a refused request again over a connection of its own

Cause: a host node believed each refusal that carries the request's ID. A refused request keeps its ID when it is sent again, often over the same connection, so a late copy of the first refusal passed for the answer to the second sending. The record of the case shows the target rejecting an order, sending the copy 1 ms later and running the order.

Change: a host node remembers the requests that its target refused until their deadlines and sends them again over a new connection. The first answer there is caused by the sending, whatever connection the target writes the copy on.

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -49,6 +49,7 @@
 	opt := upstream.Options{
 		Stream:     q.rest != nil || len(q.body) > streamThreshold,
 		MaxIdleAge: maxTargetIdle,
+		Fresh:      x.refused.has(q.id),
 		Matches:    x.matcher(q.id),
 	}
 	httpResp, err := x.client.Do(ctx, x.addr, out, opt)
@@ -81,7 +82,9 @@
 
 // matcher accepts responses that carry the ID of the request. A refusal may
 // lack the ID. On a reused connection such a refusal may be a late copy of an
-// earlier one, so it proves nothing there.
+// earlier one, so it proves nothing there. A refusal with the ID may be a late
+// copy only if the target refused the same request before; such a request is
+// sent over a connection of its own.
 func (x *exchange) matcher(id string) func(*http.Response, bool) bool {
 	return func(r *http.Response, fresh bool) bool {
 		got := r.Header.Get(x.headers.RequestID)
--- a/mesh/refused.go
+++ b/mesh/refused.go
@@ -12,7 +12,8 @@
 
 // refusedRequests holds the IDs of the requests that the target of this node
 // refused, until their deadlines. A request that is sent again keeps its ID, so
-// the ID alone does not tell a second refusal from a late copy of the first.
+// the ID alone does not tell a second refusal from a late copy of the first. The
+// connection does, if it carried no request before.
 type refusedRequests struct {
 	mu  sync.Mutex
 	ids map[string]int // number of refusals that are still remembered
--- /dev/null
+++ b/mesh/refused_test.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// repeatingTarget refuses each order once and runs it when it arrives again.
+// Before it responds to an order that it has refused, it sends a copy of that
+// refusal, on the connection that carried the order before or on any other that
+// has carried a request.
+type repeatingTarget struct {
+	refusal       string // with a place for the ID
+	anyConnection bool
+
+	mu      sync.Mutex
+	carried map[io.Writer]map[string]bool // IDs of requests by connection
+	refused map[string]bool
+	ran     map[string]int
+}
+
+func (g *repeatingTarget) respond(w io.Writer, r *http.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id := r.Header.Get("X-Id")
+	reused, carriedBefore := g.carried[w] != nil, g.carried[w][id]
+	if !reused {
+		g.carried[w] = map[string]bool{}
+	}
+	g.carried[w][id] = true
+	if r.Method != http.MethodPost {
+		return respondOK(w, r)
+	}
+	if !g.refused[id] {
+		g.refused[id] = true
+		fmt.Fprintf(w, g.refusal, id)
+		return true
+	}
+	if carriedBefore || (reused && g.anyConnection) {
+		fmt.Fprintf(w, g.refusal, id)
+	}
+	g.ran[id]++
+	return respondOK(w, r)
+}
+
+// Guards against a late copy of a refusal that counts as proof that the next
+// sending of the same request did not run: the request runs again, here or at
+// another target, or is reported as not run.
+func TestLateCopyOfOwnRefusal(t *testing.T) {
+	refusals := map[string]string{
+		"503": "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"429": "HTTP/1.1 429 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"421": "HTTP/1.1 421 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, refusal := range refusals {
+		for _, anyConnection := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, any connection %t", name, anyConnection), func(t *testing.T) {
+				testLateCopy(t, refusal, anyConnection)
+			})
+		}
+	}
+}
+
+func testLateCopy(t *testing.T, refusal string, anyConnection bool) {
+	g := &repeatingTarget{refusal: refusal, anyConnection: anyConnection, carried: map[io.Writer]map[string]bool{}, refused: map[string]bool{}, ran: map[string]int{}}
+	faulty, other := startTarget(t, "faulty"), startTarget(t, "other")
+	faulty.setHandler(g.respond)
+	nf, no := startNode(t, faulty), startNode(t, other)
+	connectNodes(t, nf, no)
+	for _, n := range []*Node{nf, no} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	reached := 0
+	for i := range 12 {
+		id := fmt.Sprint("o", i)
+		send(t, nf, "/read/1", fmt.Sprint("r", i))
+		got := send(t, nf, "/order/1", id)
+		g.mu.Lock()
+		ran := g.ran[id]
+		g.mu.Unlock()
+		reached += ran
+		if runs := ran + other.runCount(id); runs > 1 {
+			t.Errorf("order %s ran %d times", id, runs)
+		} else if runs > 0 && got.header.Get(headerRan) == "no" {
+			t.Errorf("order %s ran and is reported as not run", id)
+		}
+	}
+	if reached == 0 {
+		t.Error("no order ran at the faulty target, so nothing was tested")
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -33,6 +33,9 @@
 	// time makes it unlikely that the server closes the connection just as the
 	// request is sent. 0 means the client's idle timeout.
 	MaxIdleAge time.Duration
+	// Fresh opens a connection for the request, so that no earlier request can
+	// have caused the response.
+	Fresh bool
 	// Matches reports whether a response belongs to the request. A faulty server
 	// may send a late or duplicate response in place of the expected one. A
 	// response that does not match is read to its end and discarded, and the
@@ -68,12 +71,8 @@
 // arrived. The caller must read Body to its end or close it. ctx bounds the whole
 // exchange including the body. The error is an *Error.
 func (c *Client) Do(ctx context.Context, addr string, req *http.Request, opt Options) (*http.Response, error) {
-	maxAge := opt.MaxIdleAge
-	if maxAge == 0 {
-		maxAge = c.cfg.IdleTimeout
-	}
 	for {
-		cn, reused, err := c.get(ctx, addr, maxAge)
+		cn, reused, err := c.get(ctx, addr, opt)
 		if err != nil {
 			return nil, &Error{Stage: NotSent, Addr: addr, Err: cause(ctx, err)}
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -61,22 +61,31 @@
 	return p.(*pool)
 }
 
-// get returns a connection that has been idle for at most maxIdleAge, or dials a
-// new one.
-func (c *Client) get(ctx context.Context, addr string, maxIdleAge time.Duration) (cn *conn, reused bool, err error) {
+// get returns an idle connection that the options allow, or dials a new one.
+func (c *Client) get(ctx context.Context, addr string, opt Options) (cn *conn, reused bool, err error) {
+	if !opt.Fresh {
+		if cn := c.reuse(addr, opt.MaxIdleAge); cn != nil {
+			return cn, true, nil
+		}
+	}
+	cn, err = c.dial(ctx, addr)
+	return cn, false, err
+}
+
+// reuse returns a connection that has been idle for at most maxIdleAge, or nil.
+// 0 means the client's idle timeout.
+func (c *Client) reuse(addr string, maxIdleAge time.Duration) *conn {
+	if maxIdleAge == 0 {
+		maxIdleAge = c.cfg.IdleTimeout
+	}
 	p := c.pool(addr)
 	for {
 		cn := p.pop()
-		if cn == nil {
-			break
-		}
-		if cn.reusable(maxIdleAge) {
-			return cn, true, nil
+		if cn == nil || cn.reusable(maxIdleAge) {
+			return cn
 		}
 		cn.Close()
 	}
-	cn, err = c.dial(ctx, addr)
-	return cn, false, err
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
