platform: acknowledge a departure once it outlives the process

Cause: the acknowledgement was given from memory, and the next process believed any heartbeat while it did not know what its predecessor had acknowledged.

Change: a departure takes effect at once and is acknowledged once the store has it, or two other nodes hold it while the store does not respond. It has a record of its own, so a delayed write of the node's record cannot undo it. A process that starts uses an instance only after it has read its records and heard other nodes, or after a health check, or after heartbeats that go on for longer than one can be late. Messages that are not in force get 409.

TestWithdrawalOfUnknownInstance asked that a later start time is believed at once after a withdrawal. Start times come from a clock that steps, so the test now asks that the heartbeat is refused for as long as it may be a delayed one, and believed after that. The restored instance in TestRestore is confirmed by the same state, and the kept departure is checked besides.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -73,12 +73,18 @@
 	Sequence uint64
 	Version  int64 // configuration in force; 0 if none
 	Status   wireStatus
+	// Departures are the recent departures of the sender's host. Held are the
+	// departures of the receiver's host that the sender holds; only replies
+	// state them.
+	Departures []Departure
+	Held       []Departure
 }
 
 // Bits of heartbeat.Flags.
 const (
 	flagHello        = 1 << iota // asks the receiver to send its own state
 	flagConfigReader             // the sender reads the configuration from its source successfully
+	flagKnewEarlier              // the sender has known an earlier process of the receiver; only replies state it
 )
 
 // maxHeartbeatBytes bounds a datagram. It stays below the usual MTU.
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -211,7 +212,11 @@
 		if got, err := decodeStatus(wire); got != s || err != nil {
 			t.Fatalf("got %+v, %v, want %+v", got, err, s)
 		}
-		b, err := cbor.Marshal(heartbeat{Addr: "255.255.255.255:65535", Gossip: "255.255.255.255:65535", Zone: "zone", Status: encodeStatus(s)})
+		departures := slices.Repeat([]Departure{{Target: strings.Repeat("t", MaxDepartureTargetBytes), Born: math.MaxInt64, At: math.MaxInt64}}, maxDepartures)
+		b, err := cbor.Marshal(heartbeat{
+			Addr: "255.255.255.255:65535", Gossip: "255.255.255.255:65535", Zone: "zone", Status: encodeStatus(s),
+			Departures: departures, Held: departures,
+		})
 		if err != nil || len(b) > maxHeartbeatBytes {
 			t.Fatalf("heartbeat of %d bytes, error %v", len(b), err)
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -32,8 +32,12 @@
 	Headers    Headers
 	// Decode converts a configuration from the source's format.
 	Decode func(raw []byte) (*dynamic.Config, error)
-	Log    log.Interface
-	Seed   uint64
+	// OnDepartures is called with the departures of this host that another node
+	// holds, and whether that node knew an earlier process of this one. It may be
+	// nil.
+	OnDepartures func(held []Departure, knewEarlier bool)
+	Log          log.Interface
+	Seed         uint64
 	// Clock includes the time for which the machine was suspended; clock.SinceBoot
 	// if nil.
 	Clock func() time.Duration
@@ -88,6 +92,7 @@
 	n.view = placement.NewView(placement.DefaultConfig(cfg.NodeAddr, cfg.Zone), n.now, cfg.Seed)
 	n.peers = &peers{
 		now: n.now, heartbeat: n.heartbeat, identity: n.identity, view: n.view, log: n.log, metrics: n.metrics, onNewerConfig: n.fetchConfig,
+		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
 		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue),
 	}
 	n.buildDataPath()
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -57,6 +57,8 @@
 	lastSent  time.Duration
 	silent    bool
 	added     time.Duration // when the node was added
+	held      []Departure   // departures of the node's host, kept for its later processes
+	replaced  bool          // an earlier process of the node was known here
 }
 
 // peers exchanges heartbeats with the other nodes.
@@ -72,6 +74,10 @@
 	// onNewerConfig is called when a node has a newer configuration than this
 	// one.
 	onNewerConfig func(s versionSource)
+	departures    *ownDepartures
+	// onHeld is called with the departures of this host that another node holds,
+	// and whether that node knew an earlier process of this one. It may be nil.
+	onHeld func(held []Departure, knewEarlier bool)
 
 	mu       sync.Mutex
 	byAddr   map[netip.AddrPort]*peer
@@ -217,15 +223,24 @@
 }
 
 func (p *peers) send(to []netip.AddrPort, flags uint8) {
-	if len(to) == 0 {
-		return
+	if len(to) > 0 {
+		p.transmit(p.message(flags), to)
 	}
+}
+
+// message returns the next heartbeat of this node.
+func (p *peers) message(flags uint8) heartbeat {
 	msg := p.heartbeat()
 	msg.Flags |= flags
+	msg.Departures = p.departures.current(p.now())
 	p.mu.Lock()
 	p.sequence++
 	msg.Sequence = p.sequence
 	p.mu.Unlock()
+	return msg
+}
+
+func (p *peers) transmit(msg heartbeat, to []netip.AddrPort) {
 	b, err := cbor.Marshal(msg)
 	if err != nil || len(b) > maxHeartbeatBytes {
 		p.metrics.count("mesh_datagrams_total.not_sent")
@@ -282,6 +297,8 @@
 	fresh := !q.known || q.silent || q.last.Started != msg.Started
 	moved := q.known && q.last.Addr != msg.Addr
 	previous := q.last.Addr
+	q.replaced = q.replaced || (q.known && q.last.Started != msg.Started)
+	q.held = addDepartures(q.held, msg.Departures)
 	q.last, q.known, q.lastHeard, q.silent = msg, true, now, false
 	p.mu.Unlock()
 	if fresh {
@@ -292,8 +309,9 @@
 	}
 	p.view.Update(placement.Host{Addr: msg.Addr, Zone: msg.Zone}, status)
 	if msg.Flags&flagHello != 0 || fresh {
-		p.send([]netip.AddrPort{from}, 0)
+		p.reply(from)
 	}
+	p.acceptHeld(from, msg)
 	if self := p.identity(); msg.Version > self.Version {
 		p.onNewerConfig(versionSource{msg.Version, msg.Zone == self.Zone})
 	}
