mesh: replace a lost reader of the configuration within the bound

Cause: the other nodes of a zone relied on a silent reader for 2.5 s, looked for its loss every 0.5 s and took turns of 0.3 s, in which the lost reader still had its place. A node that announced a version and stopped was the only one asked for 1 s.

A reader whose next process is heard is missed at once. A fetch asks a second node after 0.25 s.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -85,6 +85,7 @@
 	flagHello        = 1 << iota // asks the receiver to send its own state
 	flagConfigReader             // the sender reads the configuration from its source successfully
 	flagKnewEarlier              // the sender has known an earlier process of the receiver; only replies state it
+	flagStandby                  // the sender reads the configuration and sends the receiver a heartbeat every standbyHeartbeatInterval
 )
 
 // maxHeartbeatBytes bounds a datagram. It stays below the usual MTU.
--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -37,6 +37,9 @@
 const (
 	// maxFetchNodes bounds the nodes that are asked for one version.
 	maxFetchNodes = 3
+	// fetchHedgeDelay is how long a node may take to respond before another one
+	// is asked as well. Large configurations arrive within 0.5 s.
+	fetchHedgeDelay = 250 * time.Millisecond
 	// crossZoneFetchDelay is how long a node that learns of a newer
 	// configuration from another availability zone waits for a node of its own
 	// zone to get it. A configuration with many routes takes hundreds of KB,
@@ -79,7 +82,7 @@
 	return min(maxCrossZoneFetchDelay, crossZoneFetchDelay+time.Duration(n.peers.rankInZone())*crossZoneFetchStagger)
 }
 
-// startFetch fetches the configuration from a node that has it, preferably in
+// startFetch fetches the configuration from nodes that have it, preferably in
 // the same zone. Only one fetch runs at a time.
 func (n *Node) startFetch(s versionSource) {
 	if !n.fetching.CompareAndSwap(false, true) {
@@ -87,23 +90,59 @@
 	}
 	go func() {
 		defer n.fetching.Store(false)
-		sameZone, otherZones := n.peers.nodesWithVersion(s.version)
-		n.fetchFrom(append(sameZone, otherZones...))
+		n.fetchVersion(s.version)
 	}()
 }
 
-func (n *Node) fetchFrom(addrs []string) {
-	for i, addr := range addrs {
-		if i == maxFetchNodes {
+// fetchVersion asks nodes that have a version one after another until it is in
+// force. The next one is asked if a node fails, or does not respond for
+// fetchHedgeDelay: it may have stopped after it announced the version.
+func (n *Node) fetchVersion(version int64) {
+	asked := map[string]bool{}
+	ended := make(chan struct{}, maxFetchNodes)
+	running := 0
+	for n.identity().Version < version {
+		if addr, ok := n.nextSource(version, asked); ok {
+			asked[addr] = true
+			running++
+			go func() {
+				n.fetchFrom(addr)
+				ended <- struct{}{}
+			}()
+		}
+		if running == 0 {
 			return
 		}
-		raw, err := n.remote.fetchConfig(context.Background(), addr)
-		if err == nil {
-			err = n.SetConfig(raw, addr)
+		timer := time.NewTimer(fetchHedgeDelay)
+		select {
+		case <-ended:
+			running--
+		case <-timer.C:
 		}
-		if err == nil {
-			return
+		timer.Stop()
+	}
+}
+
+// nextSource returns a node that has a version and has not been asked.
+func (n *Node) nextSource(version int64, asked map[string]bool) (string, bool) {
+	if len(asked) == maxFetchNodes {
+		return "", false
+	}
+	sameZone, otherZones := n.peers.nodesWithVersion(version)
+	for _, addr := range append(sameZone, otherZones...) {
+		if !asked[addr] {
+			return addr, true
 		}
+	}
+	return "", false
+}
+
+func (n *Node) fetchFrom(addr string) {
+	raw, err := n.remote.fetchConfig(context.Background(), addr)
+	if err == nil {
+		err = n.SetConfig(raw, addr)
+	}
+	if err != nil {
 		n.log.configRefused(0, addr, err)
 	}
 }
--- a/mesh/departures.go
+++ b/mesh/departures.go
@@ -178,7 +178,7 @@
 	p.mu.Lock()
 	if q := p.byAddr[to]; q != nil {
 		msg.Held = slices.Clone(q.held)
-		msg.Flags |= flagIf(q.replaced, flagKnewEarlier)
+		msg.Flags |= flagIf(q.replaced, flagKnewEarlier) | flagIf(p.standbys[to], flagStandby)
 	}
 	p.mu.Unlock()
 	p.transmit(msg, []netip.AddrPort{to})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -93,7 +93,7 @@
 	n.peers = &peers{
 		now: n.now, heartbeat: n.heartbeat, identity: n.identity, view: n.view, log: n.log, metrics: n.metrics, onNewerConfig: n.fetchConfig,
 		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
-		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue),
+		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue), readerChanged: make(chan struct{}, 1),
 	}
 	n.buildDataPath()
 	return n
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -41,6 +41,14 @@
 	// readerTimeout is how recently a node must have announced that it reads
 	// the configuration from its source for others to rely on it.
 	readerTimeout = 2500 * time.Millisecond
+	// maxStandbys nodes of its zone get a heartbeat of a reader every
+	// standbyHeartbeatInterval, so that one of them takes over in time for a
+	// configuration that must be in force within 2 s.
+	maxStandbys              = 8
+	standbyHeartbeatInterval = heartbeatTick
+	// StandbyReaderTimeout is how long a standby relies on a silent reader. It
+	// leaves room for two lost datagrams and a pause of a throttled process.
+	StandbyReaderTimeout = 900 * time.Millisecond
 	// readersPerZone nodes of a zone read the configuration from its source;
 	// the others get it from them. One reader per zone is enough once
 	// minZonesForOneReader zones have readers, since each reader announces new
@@ -84,6 +92,11 @@
 	sequence uint64
 	maxNodes int // largest number of nodes known so far
 	notify   chan scope
+	standbys map[netip.AddrPort]bool // nodes that take over if this node reads the configuration and is lost
+	// readerReplaced is when a reader of the own zone was last replaced by a
+	// process that does not read, and readerChanged receives a value then.
+	readerReplaced time.Duration
+	readerChanged  chan struct{}
 }
 
 // scope selects the nodes to which a change is announced at once.
@@ -171,6 +184,7 @@
 	p.mu.Lock()
 	now := p.now()
 	zone := p.identity().Zone
+	p.standbys = p.chooseStandbys()
 	crossZone := p.crossZoneInterval(zone)
 	var due, hello []netip.AddrPort
 	for addr, q := range p.byAddr {
@@ -178,6 +192,9 @@
 		if q.known && q.last.Zone != zone {
 			interval = crossZone
 		}
+		if p.standbys[addr] {
+			interval = standbyHeartbeatInterval
+		}
 		p.updateLiveness(addr, q, now, max(silentTimeout, silentIntervals*interval))
 		if q.silent {
 			interval = max(interval, silentNodeInterval)
@@ -223,8 +240,21 @@
 }
 
 func (p *peers) send(to []netip.AddrPort, flags uint8) {
-	if len(to) > 0 {
-		p.transmit(p.message(flags), to)
+	p.mu.Lock()
+	var standbys, others []netip.AddrPort
+	for _, addr := range to {
+		if p.standbys[addr] {
+			standbys = append(standbys, addr)
+		} else {
+			others = append(others, addr)
+		}
+	}
+	p.mu.Unlock()
+	if len(standbys) > 0 {
+		p.transmit(p.message(flags|flagStandby), standbys)
+	}
+	if len(others) > 0 {
+		p.transmit(p.message(flags), others)
 	}
 }
 
@@ -297,6 +327,7 @@
 	fresh := !q.known || q.silent || q.last.Started != msg.Started
 	moved := q.known && q.last.Addr != msg.Addr
 	previous := q.last.Addr
+	p.noteReplacedReader(q, msg)
 	q.replaced = q.replaced || (q.known && q.last.Started != msg.Started)
 	q.held = addDepartures(q.held, msg.Departures)
 	q.last, q.known, q.lastHeard, q.silent = msg, true, now, false
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -1,5 +1,13 @@
 package mesh
 
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
 // shouldReadConfig reports whether this node should read the configuration from
 // its source. Current readers keep their role, since a change of readers costs
 // a listing of the store. If too many started reading together, those with the
@@ -28,9 +36,109 @@
 
 // isConfigReader reports whether a peer is a live config reader of the zone.
 func (p *peers) isConfigReader(q *peer, zone string) bool {
-	return q.known && q.last.Flags&flagConfigReader != 0 && q.last.Zone == zone && p.now()-q.lastHeard < readerTimeout
+	return isReaderOf(q, zone) && p.now()-q.lastHeard < timeoutOfReader(q)
+}
+
+// isReaderOf reports whether a peer of the zone has last stated that it reads the
+// configuration.
+func isReaderOf(q *peer, zone string) bool {
+	return q.known && q.last.Flags&flagConfigReader != 0 && q.last.Zone == zone
+}
+
+// timeoutOfReader returns how long this node relies on a silent reader.
+func timeoutOfReader(q *peer) time.Duration {
+	if q.last.Flags&flagStandby != 0 {
+		return StandbyReaderTimeout
+	}
+	return readerTimeout
+}
+
+// chooseStandbys returns the nodes of the zone that take over if this node reads
+// the configuration and is lost: those with the lowest addresses.
+func (p *peers) chooseStandbys() map[netip.AddrPort]bool {
+	self := p.identity()
+	if self.Flags&flagConfigReader == 0 {
+		return nil
+	}
+	var nodes []*peer
+	for _, q := range p.byAddr {
+		if q.known && !q.silent && q.last.Zone == self.Zone && q.last.Flags&flagConfigReader == 0 {
+			nodes = append(nodes, q)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b *peer) int { return strings.Compare(a.last.Addr, b.last.Addr) })
+	standbys := map[netip.AddrPort]bool{}
+	for _, q := range nodes[:min(len(nodes), maxStandbys)] {
+		standbys[q.addr] = true
+	}
+	return standbys
+}
+
+// noteReplacedReader notes that a reader of the own zone has been replaced by a
+// process that does not read.
+func (p *peers) noteReplacedReader(q *peer, msg heartbeat) {
+	if !isReaderOf(q, p.identity().Zone) || msg.Flags&flagConfigReader != 0 || msg.Started == q.last.Started {
+		return
+	}
+	p.readerReplaced = p.now()
+	select {
+	case p.readerChanged <- struct{}{}:
+	default: // a change is already noted
+	}
 }
 
+// lostConfigReader returns the latest loss of a reader of the own zone: for how
+// long the reader has been silent, or since when it is replaced. ok is false if
+// none was lost recently.
+func (p *peers) lostConfigReader() (since time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, zone := p.now(), p.identity().Zone
+	since = silentTimeout
+	if p.readerReplaced > 0 {
+		since = now - p.readerReplaced
+	}
+	for _, q := range p.byAddr {
+		if isReaderOf(q, zone) && !p.isConfigReader(q, zone) {
+			since = min(since, now-q.lastHeard)
+		}
+	}
+	return since, since < silentTimeout
+}
+
+// untilReaderTimeout returns for how long this node relies on the readers of its
+// zone if they stay silent. It returns limit if that is longer or there is none.
+func (p *peers) untilReaderTimeout(limit time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, zone := p.now(), p.identity().Zone
+	for _, q := range p.byAddr {
+		if p.isConfigReader(q, zone) {
+			limit = min(limit, timeoutOfReader(q)-(now-q.lastHeard))
+		}
+	}
+	return limit
+}
+
+// minReaderCheck is the shortest wait between checks for a lost reader.
+const minReaderCheck = 20 * time.Millisecond
+
+// AwaitReaderLoss waits until a reader of this zone may have been lost, for at
+// most limit.
+func (n *Node) AwaitReaderLoss(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(max(minReaderCheck, n.peers.untilReaderTimeout(limit)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.peers.readerChanged:
+	case <-ctx.Done():
+	}
+}
+
+// LostConfigReader reports whether a reader of this zone was lost recently, and
+// for how long it has been silent or replaced.
+func (n *Node) LostConfigReader() (since time.Duration, ok bool) { return n.peers.lostConfigReader() }
+
 // zoneHasConfigReader reports whether another node of the same availability
 // zone reads the configuration from its source.
 func (p *peers) zoneHasConfigReader() bool {
@@ -80,18 +188,19 @@
 }
 
 // RankInZone returns the number of live nodes of the same availability zone
-// with a lower address.
+// with a lower address, without lost readers.
 func (n *Node) RankInZone() int { return n.peers.rankInZone() }
 
 // rankInZone returns the number of live nodes of the same availability zone
-// with a lower address.
+// with a lower address, without lost readers.
 func (p *peers) rankInZone() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self := p.identity()
 	rank := 0
 	for _, q := range p.byAddr {
-		if q.known && !q.silent && q.last.Zone == self.Zone && q.last.Addr < self.Addr {
+		lost := isReaderOf(q, self.Zone) && !p.isConfigReader(q, self.Zone)
+		if q.known && !q.silent && !lost && q.last.Zone == self.Zone && q.last.Addr < self.Addr {
 			rank++
 		}
 	}
