--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -147,3 +147,30 @@
 		t.Errorf("error %v, want %v", err, errHeaderTooLarge)
 	}
 }
+
+// Guards against a response that is cut at any place and looks whole.
+func TestResponseCutAnywhere(t *testing.T) {
+	for name, whole := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nKeep-Alive: timeout=5\r\n\r\nwhole body",
+		"in chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n5\r\n body\r\n0\r\n",
+		"without a length": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", // its body ends with the connection
+		"after a 1xx":      "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nwhole body",
+		"bare line feeds":  "HTTP/1.1 200 OK\nContent-Length: 10\n\nwhole body",
+	} {
+		for cut := range len(whole) {
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, whole[:cut])
+				}
+			})
+			resp, err := NewClient(Config{}).Do(context.Background(), addr, request(http.MethodGet, nil), Options{})
+			if err != nil {
+				continue
+			}
+			b, err := io.ReadAll(resp.Body)
+			if err == nil {
+				t.Errorf("%s, cut after %d bytes: status %d with body %q", name, cut, resp.StatusCode, b)
+			}
+		}
+	}
+}
