--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -240,6 +240,9 @@
 }
 
 func (p *peers) send(to []netip.AddrPort, flags uint8) {
+	if len(to) == 0 {
+		return
+	}
 	p.mu.Lock()
 	var standbys, others []netip.AddrPort
 	for _, addr := range to {
@@ -250,12 +253,10 @@
 		}
 	}
 	p.mu.Unlock()
-	if len(standbys) > 0 {
-		p.transmit(p.message(flags|flagStandby), standbys)
-	}
-	if len(others) > 0 {
-		p.transmit(p.message(flags), others)
-	}
+	msg := p.message(flags)
+	p.transmit(msg, others)
+	msg.Flags |= flagStandby
+	p.transmit(msg, standbys)
 }
 
 // message returns the next heartbeat of this node.
@@ -271,6 +272,9 @@
 }
 
 func (p *peers) transmit(msg heartbeat, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
 	b, err := cbor.Marshal(msg)
 	if err != nil || len(b) > maxHeartbeatBytes {
 		p.metrics.count("mesh_datagrams_total.not_sent")
