customers: keys in the configuration, checked by entry nodes

Cause: configurations with customers were decoded without them, so every request reached its target without the customer's name and with its key.

Change: dynamic.Config holds the customers and finds one by the hash of a key. The entry node refuses a key that its version does not hold (1506, 401), or answers 503 if a live node has announced a newer version; the same holds for an unknown route. The key is removed from the request and the customer's name is set. Reservations carry the customer, and its priority goes before the route's.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,6 +67,7 @@
 	Target     string // ID of the target; empty for any
 	Service    string // service that the target must belong to
 	Zone       string // availability zone of the entry node
+	Customer   string // name of the caller's customer; empty for none
 	Priority   int    // 0 is the most urgent
 	Idempotent bool   // may run more than once, so it may serve as a trial request
 	NoRetry    bool   // idempotent, but could not be retried after a failure, so it is no trial request
--- a/config/dynamic/config.go
+++ b/config/dynamic/config.go
@@ -42,6 +42,7 @@
 	Priority   int           // 0 is the highest
 	Attempts   int           // maximum attempts per request that may have run it, including hedges
 	Shares     []Share       // at least one; weights are positive
+	Public     bool          // callers need no key
 }
 
 // Config is one version of the configuration. It is immutable.
@@ -49,6 +50,7 @@
 	Version    int64
 	Services   map[string]Service
 	Limits     Limits
+	customers  map[keyHash]*Customer
 	routes     map[string]map[string]*Route // by host, then by prefix
 	routeCount int
 }
@@ -56,7 +58,7 @@
 // New validates its arguments and returns the configuration. The error joins
 // every problem found; the configuration is nil if there is one.
 // New retains routes and converts their host names to lower case.
-func New(version int64, services []Service, limits Limits, routes []Route) (*Config, error) {
+func New(version int64, services []Service, limits Limits, customers []Customer, routes []Route) (*Config, error) {
 	c := &Config{
 		Version:  version,
 		Services: make(map[string]Service, len(services)),
@@ -70,6 +72,7 @@
 		}
 		c.Services[s.Name] = s
 	}
+	errs = append(errs, c.addCustomers(customers))
 	for i := range routes {
 		errs = append(errs, c.addRoute(&routes[i]))
 	}
--- /dev/null
+++ b/config/dynamic/customer.go
@@ -0,0 +1,86 @@
+package dynamic
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+)
+
+// Customer is an account whose callers identify themselves by a key.
+type Customer struct {
+	Name     string
+	Keys     []string // each belongs to one customer only
+	Priority int      // 0 is the highest; goes before the priority of routes
+	Quota    Quota
+}
+
+// Quota bounds the requests of one customer at all nodes together. There is no
+// bound if PerSecond is 0.
+type Quota struct {
+	PerSecond float64 // requests per second
+	Burst     float64 // requests allowed on top of the rate
+}
+
+// Limited reports whether the quota bounds anything.
+func (q Quota) Limited() bool { return q.PerSecond > 0 }
+
+// keyHash is the hash by which keys are looked up, so that the time of a lookup
+// does not depend on how much of a key a caller has guessed.
+type keyHash [sha256.Size]byte
+
+func hashKey(key string) keyHash { return sha256.Sum256([]byte(key)) }
+
+// addCustomers validates the customers and indexes them by their keys. Key
+// values do not appear in errors, since these are logged.
+func (c *Config) addCustomers(customers []Customer) error {
+	if len(customers) == 0 {
+		return nil
+	}
+	c.customers = make(map[keyHash]*Customer, len(customers))
+	names := make(map[string]bool, len(customers))
+	var errs []error
+	for i := range customers {
+		customer := customers[i]
+		keys := customer.Keys
+		customer.Keys = nil
+		switch {
+		case customer.Name == "":
+			errs = append(errs, errors.New("customer without a name"))
+			continue
+		case names[customer.Name]:
+			errs = append(errs, fmt.Errorf("customer %q is defined twice", customer.Name))
+			continue
+		case !(customer.Quota.PerSecond >= 0 && customer.Quota.Burst >= 0): // also refuses NaN
+			errs = append(errs, fmt.Errorf("customer %q: quota %+v is negative", customer.Name, customer.Quota))
+			continue
+		}
+		names[customer.Name] = true
+		errs = append(errs, c.addKeys(&customer, keys))
+	}
+	return errors.Join(errs...)
+}
+
+func (c *Config) addKeys(customer *Customer, keys []string) error {
+	for i, key := range keys {
+		if key == "" {
+			return fmt.Errorf("customer %q: key %d is empty", customer.Name, i)
+		}
+		h := hashKey(key)
+		if other := c.customers[h]; other != nil && other.Name != customer.Name {
+			return fmt.Errorf("customer %q: key %d belongs to customer %q as well", customer.Name, i, other.Name)
+		}
+		c.customers[h] = customer
+	}
+	return nil
+}
+
+// HasCustomers reports whether callers identify themselves by keys.
+func (c *Config) HasCustomers() bool { return c.customers != nil }
+
+// Customer returns the customer that holds the key, or nil.
+func (c *Config) Customer(key string) *Customer {
+	if key == "" || c.customers == nil {
+		return nil
+	}
+	return c.customers[hashKey(key)]
+}
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -51,6 +51,7 @@
 	MaxRisk  int64 // in thousandths
 	// CalledByRetry is in thousandths.
 	CalledByRetry int64
+	Customer      string
 }
 
 // Bits of wireReservation.Flags.
@@ -128,7 +129,7 @@
 		Target: r.Target, Service: r.Service, Zone: r.Zone, Priority: r.Priority,
 		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry),
 		MaxWait: r.MaxWait.Milliseconds(), Overdue: r.OverdueAfter.Milliseconds(),
-		MaxRisk: toThousandths(r.MaxRisk), CalledByRetry: toThousandths(r.CalledByRetry),
+		MaxRisk: toThousandths(r.MaxRisk), CalledByRetry: toThousandths(r.CalledByRetry), Customer: r.Customer,
 	}
 }
 
@@ -138,7 +139,7 @@
 		Idempotent: w.Flags&flagIdempotent != 0, LastResort: w.Flags&flagLastResort != 0,
 		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0,
 		MaxWait: time.Duration(w.MaxWait) * time.Millisecond, OverdueAfter: time.Duration(w.Overdue) * time.Millisecond,
-		MaxRisk: float64(w.MaxRisk) / 1000, CalledByRetry: float64(w.CalledByRetry) / 1000,
+		MaxRisk: float64(w.MaxRisk) / 1000, CalledByRetry: float64(w.CalledByRetry) / 1000, Customer: w.Customer,
 	}
 }
 
--- /dev/null
+++ b/mesh/customer.go
@@ -0,0 +1,59 @@
+package mesh
+
+import (
+	"net/http"
+
+	"hyssopbridge/config/dynamic"
+	"hyssopbridge/resultcode"
+)
+
+// routePriorities is the number of priorities of routes that are told apart
+// within one priority of customers.
+const routePriorities = 16
+
+// priority returns the rank of the request in queues: by its customer, then by
+// its route. 0 is the most urgent.
+func (q *request) priority(route *dynamic.Route) int {
+	if q.customer == nil {
+		return route.Priority
+	}
+	return q.customer.Priority*routePriorities + min(route.Priority, routePriorities-1)
+}
+
+// customerName returns the name of the request's customer, or "".
+func (q *request) customerName() string {
+	if q.customer == nil {
+		return ""
+	}
+	return q.customer.Name
+}
+
+// identify returns the customer that holds the request's key, or nil if callers
+// need none. A key that this node does not know may belong to a version that
+// another node has already; such a request is refused as not run rather than as
+// unauthorized.
+func (e *entryNode) identify(r *http.Request, cfg *dynamic.Config, route *dynamic.Route) (*dynamic.Customer, error) {
+	if !cfg.HasCustomers() {
+		return nil, nil
+	}
+	customer := cfg.Customer(r.Header.Get(e.headers.Key))
+	switch {
+	case customer != nil || route.Public:
+		return customer, nil
+	case e.behind(cfg.Version):
+		return nil, notRun(resultcode.StaleConfiguration, "version %d does not hold the key, and another node has a newer version", cfg.Version)
+	}
+	return nil, notRun(resultcode.UnknownKey, "version %d does not hold the key", cfg.Version)
+}
+
+// setCustomer replaces what the caller stated about its customer. The target
+// gets the customer's name and never the key.
+func (e *entryNode) setCustomer(q *request, customer *dynamic.Customer) {
+	q.customer = customer
+	delete(q.header, http.CanonicalHeaderKey(e.headers.Key))
+	name := http.CanonicalHeaderKey(e.headers.Customer)
+	delete(q.header, name)
+	if customer != nil {
+		q.header[name] = []string{customer.Name}
+	}
+}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -19,6 +19,7 @@
 	now           func() time.Duration // includes suspensions of the machine
 	localService  func() string        // service of the target on this host
 	stopping      func() bool
+	behind        func(version int64) bool // whether another node has a newer configuration
 	splitter      *dynamic.Splitter
 	outboundCalls *outboundCalls
 	log           *eventLog
@@ -70,13 +71,21 @@
 		return nil, notRun(resultcode.NoConfiguration, "no configuration received yet")
 	}
 	route := cfg.Match(r.Host, r.URL.EscapedPath())
+	if route == nil && e.behind(cfg.Version) {
+		return nil, notRun(resultcode.StaleConfiguration, "version %d has no route for host %q and path %q, and another node has a newer version", cfg.Version, r.Host, r.URL.Path)
+	}
 	if route == nil {
 		return nil, resultcode.New(resultcode.NoRoute, "version %d has no route for host %q and path %q", cfg.Version, r.Host, r.URL.Path)
 	}
+	customer, err := e.identify(r, cfg, route)
+	if err != nil {
+		return route, err
+	}
 	q, err := e.parseRequest(w, r, route, cfg, start)
 	if err != nil {
 		return route, err
 	}
+	e.setCustomer(q, customer)
 	ctx, cancel := q.deadline.context(r.Context(), 0)
 	defer cancel()
 	service := e.splitter.Pick(route)
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -24,6 +24,7 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sig", ExpectedTarget: "X-Expect",
 	NotRun: "X-Not-Run", CallerService: "X-Caller", TargetID: "X-Target", RetryAfter: "Retry-After",
+	Key: "X-Key", Customer: "X-Customer",
 }
 
 const (
@@ -50,7 +51,7 @@
 			Shares: []dynamic.Share{{Service: testService, Weight: 1}},
 		})
 	}
-	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, routes)
+	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, nil, routes)
 }
 
 // stubTarget is a target whose response to each request is set by the test.
--- a/mesh/headers.go
+++ b/mesh/headers.go
@@ -11,6 +11,8 @@
 	CallerService  string // service of the host at which the request originated
 	TargetID       string // ID of the target that responded
 	RetryAfter     string // seconds after which a refused caller may retry
+	Key            string // key of the caller's customer; entry nodes remove it
+	Customer       string // name of the customer; set by entry nodes
 }
 
 // Header fields between nodes. filters.StripHeader removes them from what
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
 	"hyssopbridge/filters"
 	"hyssopbridge/resultcode"
 )
@@ -30,6 +31,7 @@
 	restLen    int64     // length of rest; -1 if unknown
 	idempotent bool
 	deadline   deadline
+	customer   *dynamic.Customer // nil if the request carries no known key
 	// fromRunProb is the probability that the target beside the entry node made
 	// the request as part of a run, which fails if this request does.
 	fromRunProb float64
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -114,7 +114,7 @@
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
 		outboundCalls: n.hostNode.outboundCalls, log: n.log, metrics: n.metrics,
 	}
 }
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -239,7 +239,7 @@
 
 func (c *call) reservationRequest(cand placement.Candidate, round int) admission.Request {
 	r := admission.Request{
-		Target: cand.Target, Service: c.service, Zone: c.d.zone, Priority: c.route.Priority,
+		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
 		Retry: c.delivered > 0, CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -187,6 +187,13 @@
 	return sameZone, otherZones
 }
 
+// haveNewer reports whether a live node has announced a newer configuration
+// than the given version.
+func (p *peers) haveNewer(version int64) bool {
+	sameZone, otherZones := p.nodesWithVersion(version + 1)
+	return len(sameZone)+len(otherZones) > 0
+}
+
 // RankInZone returns the number of live nodes of the same availability zone
 // with a lower address, without lost readers.
 func (n *Node) RankInZone() int { return n.peers.rankInZone() }
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -65,6 +65,7 @@
 	BodyStalled    Code = 1503
 	CallerGone     Code = 1504
 	BodyTooLarge   Code = 1505
+	UnknownKey     Code = 1506
 
 	Truncated   Code = 1601
 	Stalled     Code = 1602
--- a/resultcode/table.go
+++ b/resultcode/table.go
@@ -34,6 +34,7 @@
 	{BodyStalled, "body-stalled", 408, RanUnknown, "The caller stopped sending the body."},
 	{CallerGone, "caller-gone", 499, RanUnknown, "The caller closed the connection."},
 	{BodyTooLarge, "body-too-large", 413, RanUnknown, "The body exceeds the limit of the route."},
+	{UnknownKey, "unknown-key", 401, RanNo, "The request carries no key of a customer."},
 	{Truncated, "truncated", 502, RanUnknown, "The answer ended early; the response is aborted."},
 	{Stalled, "stalled", 504, RanUnknown, "The answer stopped making progress."},
 	{TargetError, "target-error", 502, RanUnknown, "The connection to the target failed after the request was sent."},
