upstream: decide that nothing was sent only once no write can follow

A body above 16 KiB is sent in a goroutine while the response is read. If reading failed or the context ended, Do read the count of written bytes, which a write in progress enters only when it returns, and closed the connection afterwards. The server could have a whole head, and so have begun, while the exchange was reported as NotSent: the order went to a second target or was refused as not run.

Do now closes the connection, waits for the write in progress, forbids others and reads the count then. An exchange whose context ended while the connection was opened writes nothing.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"math"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,9 +26,14 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	header    headerLimiter
-	written   atomic.Int64 // bytes written in the current exchange
 	idleSince time.Time
 	keepAlive time.Duration // idle timeout announced by the server; 0 if none
+
+	// writing holds a value during a write. It is no sync.Mutex because a wait
+	// for one does not let the time of testing/synctest pass.
+	writing     chan struct{}
+	written     int64 // bytes written in the current exchange; guarded by writing
+	writesEnded bool  // guarded by writing
 }
 
 // reusable reports whether the connection may carry another request. It requires
@@ -44,19 +48,44 @@
 }
 
 func newConn(c net.Conn, addr string) *conn {
-	cn := &conn{Conn: c, addr: addr}
+	cn := &conn{Conn: c, addr: addr, writing: make(chan struct{}, 1)}
 	cn.header.r = c
 	cn.br = bufio.NewReaderSize(&cn.header, bufferBytes)
 	cn.bw = bufio.NewWriterSize(countingWriter{cn}, bufferBytes)
 	return cn
 }
 
+func (c *conn) lockWrites()   { c.writing <- struct{}{} }
+func (c *conn) unlockWrites() { <-c.writing }
+
+// beginWrites starts the count of bytes written for an exchange.
+func (c *conn) beginWrites() {
+	c.lockWrites()
+	defer c.unlockWrites()
+	c.written = 0
+}
+
+// endWrites forbids further writes and reports whether the current exchange has
+// sent nothing. The connection must be closed, which ends a write in progress.
+// The server may have received the bytes of that write long before it returns.
+func (c *conn) endWrites() (nothingSent bool) {
+	c.lockWrites()
+	defer c.unlockWrites()
+	c.writesEnded = true
+	return c.written == 0
+}
+
 // countingWriter counts the bytes written to its connection.
 type countingWriter struct{ c *conn }
 
 func (w countingWriter) Write(p []byte) (int, error) {
+	w.c.lockWrites()
+	defer w.c.unlockWrites()
+	if w.c.writesEnded {
+		return 0, errAborted
+	}
 	n, err := w.c.Conn.Write(p)
-	w.c.written.Add(int64(n))
+	w.c.written += int64(n)
 	return n, err
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -18,7 +18,7 @@
 var (
 	errSwitching     = errors.New("server switched protocols")
 	errInformational = errors.New("too many 1xx responses")
-	errAborted       = errors.New("exchange ended before the request body was sent")
+	errAborted       = errors.New("exchange ended before the request was sent")
 )
 
 // Options modifies an exchange.
@@ -81,8 +81,8 @@
 		if err == nil {
 			return resp, nil
 		}
-		nothingSent := cn.written.Load() == 0
 		x.finish(false)
+		nothingSent := cn.endWrites()
 		if nothingSent && reused && ctx.Err() == nil && !opt.bodyMayBeConsumed(req) {
 			continue // the server closed the idle connection
 		}
@@ -109,9 +109,13 @@
 }
 
 func (x *exchange) run(ctx context.Context, req *http.Request, opt Options) (*http.Response, error) {
-	x.conn.written.Store(0)
+	x.conn.beginWrites()
 	x.stop = context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Unix(1, 0)) })
 	x.sendDone = make(chan struct{})
+	if err := ctx.Err(); err != nil {
+		// The deadline above may be set only after the first write.
+		return nil, err
+	}
 	hasBody := req.Body != nil && req.Body != http.NoBody
 	switch {
 	case hasBody && (opt.Stream || opt.ExpectContinue):
