mesh: answer HEAD with the target's head and its Content-Length

A node waited for the body that the answer to a HEAD request announces and does not have, and answered 502; an announced length was dropped. readResponse now takes a response to HEAD as complete without a body and keeps its length.

TestHead, on a kept connection at the host node and through another node, failed before (502, length of the error text).

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"hyssopbridge/admission"
@@ -135,7 +136,11 @@
 	filters.StripHeader(h)
 	delete(h, "Content-Length")
 	resp := &response{status: r.StatusCode, header: h}
-	if r.Body == http.NoBody {
+	if r.Request != nil && r.Request.Method == http.MethodHead {
+		// The response announces the length of a body that it does not have.
+		if r.ContentLength >= 0 {
+			h["Content-Length"] = []string{strconv.FormatInt(r.ContentLength, 10)}
+		}
 		r.Body.Close()
 		return resp, nil
 	}
--- /dev/null
+++ b/mesh/head_test.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against a HEAD request that is answered with 502 because the node waits
+// for the body that the response announces and does not have, against a lost
+// Content-Length, and against a connection that is out of step afterwards.
+func TestHead(t *testing.T) {
+	g := startTarget(t, "t")
+	host, entry := startNode(t, g), startNode(t, nil)
+	connectNodes(t, host, entry)
+	for _, n := range []*Node{host, entry} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	for length, field := range map[int]string{5: "Content-Length: 5\r\n", 3 * maxBuffered: fmt.Sprintf("Content-Length: %d\r\n", 3*maxBuffered), 0: "Content-Length: 0\r\n", -1: "Transfer-Encoding: chunked\r\n", -2: ""} {
+		g.setHandler(func(w io.Writer, r *http.Request) bool {
+			if r.Method != http.MethodHead {
+				return respondOK(w, r)
+			}
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: sig\r\n%s\r\n", r.Header.Get("X-Id"), field)
+			return true
+		})
+		for name, n := range map[string]*Node{"at the host node": host, "through another node": entry} {
+			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(waitLimit))
+			br := bufio.NewReader(c)
+			for _, method := range []string{http.MethodHead, http.MethodGet, http.MethodHead} {
+				fmt.Fprintf(c, "%s /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\n\r\n", method)
+				resp, err := http.ReadResponse(br, &http.Request{Method: method})
+				if err != nil {
+					t.Fatal(err)
+				}
+				b, err := io.ReadAll(resp.Body)
+				if resp.StatusCode != 200 || err != nil || (method == http.MethodGet) != (string(b) == "body of x") {
+					t.Errorf("%s %s, length %d: status %d, body %q, %v", method, name, length, resp.StatusCode, b, err)
+				}
+				if want := max(-1, length); method == http.MethodHead && resp.ContentLength != int64(want) {
+					t.Errorf("%s, length %d: Content-Length %d", name, length, resp.ContentLength)
+				}
+			}
+			c.Close()
+		}
+	}
+}
