mesh: a second use of a reservation proves nothing; test promises on both hops

A host node forgot a reservation when it was used, so a copy of the same request was answered as not run while the first ran. The host node now remembers that a reservation was used for as long as its ID, and answers that the outcome is unknown.

notrun_test.go plays targets that begin at the head and break off in nine ways, bodies of 0 to 3 MiB with a length and in chunks, on both hops; writes that have not returned; a host node that stops.

--- a/mesh/host.go
+++ b/mesh/host.go
@@ -40,6 +40,7 @@
 type heldReservation struct {
 	reservation *admission.Reservation
 	req         admission.Request
+	used        bool // a request has used the reservation
 }
 
 // reserve reserves a slot for a request of this or another node.
@@ -179,19 +180,27 @@
 	_, _ = rand.Read(b[:]) // crypto/rand.Read does not fail
 	id := hex.EncodeToString(b[:])
 	h.mu.Lock()
-	h.reservations[id] = heldReservation{reserved, req}
+	h.reservations[id] = heldReservation{reservation: reserved, req: req}
 	h.mu.Unlock()
-	time.AfterFunc(reservationTTL, func() { h.take(id) })
+	time.AfterFunc(reservationTTL, func() { h.forget(id) })
 	return id
 }
 
-// take removes a reservation. Each reservation can be taken once.
+// take returns a reservation as it was, and marks it as used.
 func (h *hostNode) take(id string) (heldReservation, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t, ok := h.reservations[id]
+	held, ok := h.reservations[id]
+	if ok {
+		h.reservations[id] = heldReservation{reservation: held.reservation, req: held.req, used: true}
+	}
+	return held, ok
+}
+
+func (h *hostNode) forget(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	delete(h.reservations, id)
-	return t, ok
 }
 
 func (h *hostNode) serveRun(w http.ResponseWriter, r *http.Request) {
@@ -218,6 +227,10 @@
 	if !ok {
 		return nil, notRun(resultcode.TargetDraining, "reservation is unknown or has expired")
 	}
+	if held.used {
+		// The request that used it may have been a copy of this one.
+		return nil, resultcode.New(resultcode.UnknownOutcome, "reservation has been used")
+	}
 	left, ok := getMillis(r.Header, headerTimeLeft)
 	if !ok || left <= 0 {
 		held.reservation.Release(admission.Neutral)
--- /dev/null
+++ b/mesh/notrun_test.go
@@ -0,0 +1,336 @@
+package mesh
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/internal/testutil"
+	"hyssopbridge/resultcode"
+	"hyssopbridge/upstream"
+)
+
+// headTarget is a target that begins to work on an order at its head. What it
+// does then is set by a test. It responds to reads.
+type headTarget struct {
+	addr  string
+	began chan string // IDs of requests
+}
+
+func startHeadTarget(t *testing.T, then func(c *net.TCPConn, br *bufio.Reader, r *http.Request)) *headTarget {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	g := &headTarget{addr: l.Addr().String(), began: make(chan string, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if r.Method == http.MethodGet {
+						respondOK(c, r)
+						continue
+					}
+					g.began <- r.Header.Get("X-Id")
+					then(c.(*net.TCPConn), br, r)
+				}
+			}()
+		}
+	}()
+	return g
+}
+
+// orderPath is how an order reaches the target: over which node.
+var orderPaths = []string{"target beside the entry node", "target beside another node"}
+
+// startPath starts the nodes of a path to a target and returns the entry node
+// and the host node.
+func startPath(t *testing.T, path, targetAddr string) (entry, host *Node) {
+	t.Helper()
+	host = startNode(t, nil)
+	entry = host
+	if path != orderPaths[0] {
+		entry = startNode(t, nil)
+	}
+	host.SetTarget(admission.Target{ID: "t", Service: testService, Slots: 4, Phase: admission.Serving}, targetAddr, false)
+	if entry != host {
+		connectNodes(t, entry, host)
+	}
+	for _, n := range []*Node{entry, host} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	markTested(t, entry, "first")
+	return entry, host
+}
+
+// sendOrder sends an order with a body of the given length, in chunks if length
+// is negative. It returns the status, or 0 if there was no response.
+func sendOrder(t *testing.T, n *Node, id string, length int, left time.Duration) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddr+"/order/1", bytes.NewReader(make([]byte, max(length, -length))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if length < 0 {
+		req.Body, req.ContentLength, req.GetBody = io.NopCloser(req.Body), -1, nil
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Id", id)
+	if left > 0 {
+		req.Header.Set("X-Left", fmt.Sprint(left.Milliseconds()))
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// isPromise reports whether a status promises that the request was not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// silentDeadline is the deadline of orders that end only with it. It may pass on
+// a busy machine before the order is sent.
+const silentDeadline = 300 * time.Millisecond
+
+// checkOrder sends orders until one begins at the target, and checks that it
+// began once and that its response does not promise that it was not run.
+func (g *headTarget) checkOrder(t *testing.T, entry *Node, length int, left time.Duration) {
+	t.Helper()
+	testutil.Eventually(t, "an order begins at the target", func() bool {
+		status := sendOrder(t, entry, "x", length, left)
+		n := len(g.began)
+		if n > 1 {
+			t.Errorf("the order began %d times", n)
+		}
+		if n > 0 && isPromise(status) {
+			t.Errorf("status %d although the order began", status)
+		}
+		return n > 0
+	})
+}
+
+// Guards against an order that a target began at its head and whose caller is
+// told that it was not run, or that goes to a second target, when the target
+// then breaks off in some way.
+func TestNoPromiseAfterHead(t *testing.T) {
+	for name, then := range map[string]func(c *net.TCPConn, br *bufio.Reader, r *http.Request){
+		"closes with unread data": func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) { c.Close() },
+		"resets": func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) {
+			_ = c.SetLinger(0)
+			c.Close()
+		},
+		"closes its sending side": func(c *net.TCPConn, br *bufio.Reader, _ *http.Request) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, br)
+		},
+		"reads on and resets": func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+			_, _ = io.CopyN(io.Discard, r.Body, 1000)
+			_ = c.SetLinger(0)
+			c.Close()
+		},
+		"sends half a refusal": func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\n", r.Header.Get("X-Id"))
+			c.Close()
+		},
+		"sends another request's refusal": func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+			fmt.Fprint(c, "HTTP/1.1 503 X\r\nX-Id: other\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			c.Close()
+		},
+		"sends no HTTP": func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) { fmt.Fprint(c, "y\r\n\r\n"); c.Close() },
+		"says nothing":  func(c *net.TCPConn, br *bufio.Reader, _ *http.Request) { _, _ = io.Copy(io.Discard, br) },
+		"answers early with an error": func(c *net.TCPConn, br *bufio.Reader, r *http.Request) {
+			writeTestResponse(c, 500, r.Header.Get("X-Id"), "failed")
+			_, _ = io.Copy(io.Discard, br)
+		},
+	} {
+		for _, path := range orderPaths {
+			for _, length := range []int{0, 7 << 10, 40 << 10, 200 << 10, -(200 << 10), 3 * maxBuffered, -3 * maxBuffered} {
+				t.Run(fmt.Sprintf("%s, %s, %d bytes", name, path, length), func(t *testing.T) {
+					t.Parallel()
+					g := startHeadTarget(t, then)
+					entry, _ := startPath(t, path, g.addr)
+					left := time.Duration(0)
+					if name == "says nothing" {
+						left = silentDeadline
+					}
+					g.checkOrder(t, entry, length, left)
+				})
+			}
+		}
+	}
+}
+
+// blockingConn is a connection whose writes reach the other end at once and
+// return only when it is closed, as those of a process that is descheduled do.
+type blockingConn struct {
+	net.Conn
+	blocked   atomic.Bool // an order was written
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func (c *blockingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if bytes.HasPrefix(p, []byte(http.MethodPost)) {
+		c.blocked.Store(true)
+		<-c.closed
+	}
+	return n, err
+}
+
+func (c *blockingConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func dialBlocking(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &blockingConn{Conn: c, closed: make(chan struct{})}, nil
+}
+
+// Guards against an order that is reported as not run because its write had not
+// returned at its deadline, although its head had reached the target.
+func TestNoPromiseDuringWrite(t *testing.T) {
+	for _, path := range orderPaths {
+		for _, hop := range []string{"to the target", "to the host node"} {
+			if hop == "to the host node" && path == orderPaths[0] {
+				continue
+			}
+			t.Run(path+", slow write "+hop, func(t *testing.T) {
+				g := startHeadTarget(t, func(_ *net.TCPConn, br *bufio.Reader, _ *http.Request) { _, _ = io.Copy(io.Discard, br) })
+				entry, host := startPath(t, path, g.addr)
+				if hop == "to the target" {
+					host.hostNode.client = upstream.NewClient(upstream.Config{Dial: dialBlocking})
+					g.checkOrder(t, entry, 40<<10, silentDeadline)
+					return
+				}
+				conns := make(chan *blockingConn, 100)
+				entry.remote.client = upstream.NewClient(upstream.Config{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+					c, err := dialBlocking(ctx, addr)
+					if err == nil {
+						conns <- c.(*blockingConn)
+					}
+					return c, err
+				}})
+				testutil.Eventually(t, "an order is sent to the host node", func() bool {
+					status := sendOrder(t, entry, "x", 3*maxBuffered, silentDeadline) // only long bodies are streamed between nodes
+					sent := false
+					for len(conns) > 0 {
+						c := <-conns
+						sent = sent || c.blocked.Load()
+					}
+					if sent && isPromise(status) {
+						t.Errorf("status %d although bytes of the order were sent", status)
+					}
+					return sent
+				})
+			})
+		}
+	}
+}
+
+// Guards against a promise for an order that another node's target is working on
+// when that node stops.
+func TestNoPromiseWhenHostStops(t *testing.T) {
+	began := make(chan struct{})
+	g := startHeadTarget(t, func(_ *net.TCPConn, br *bufio.Reader, _ *http.Request) {
+		close(began)
+		_, _ = io.Copy(io.Discard, br)
+	})
+	entry, host := startPath(t, orderPaths[1], g.addr)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-began
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = host.Stop(ctx, 0) // ends what is in flight
+	}()
+	if status := sendOrder(t, entry, "x", 7<<10, 0); isPromise(status) || len(g.began) != 1 {
+		t.Errorf("status %d, the order began %d times", status, len(g.began))
+	}
+	<-stopped
+}
+
+// Guards against a reservation that is used twice, and against a host node that
+// takes the second use of a reservation for proof that the request did not run.
+func TestReservationIsUsedOnce(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	release := make(chan struct{})
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		return respondOK(w, r)
+	})
+	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
+	reserved, reason := n.hostNode.reserve(context.Background(), req)
+	if reserved == nil {
+		t.Fatal(reason)
+	}
+	id := n.hostNode.store(reserved, req)
+	const copies = 8
+	ran := make(chan string, copies)
+	for range copies {
+		go func() {
+			r, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.NodeAddr+"/order/1", bytes.NewReader([]byte("payload")))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Header.Set("X-Id", "x")
+			r.Header.Set(headerReservation, id)
+			r.Header.Set(headerTimeLeft, "5000")
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resp.Body.Close()
+			ran <- resp.Header.Get(headerRan)
+		}()
+	}
+	for range copies - 1 {
+		if got := <-ran; got == resultcode.RanNo.String() {
+			t.Error("a second use of the reservation counts as proof that the request did not run")
+		}
+	}
+	close(release)
+	if got := <-ran; got != "" || g.runCount("x") != 1 {
+		t.Errorf("first use: ran %q, %d runs", got, g.runCount("x"))
+	}
+	testutil.Eventually(t, "the slot is free", func() bool { return n.gate.Status().Running == 0 })
+}
