mesh: remember a refusal as long as a copy of it may be read

A refusal was remembered until a second after the request's deadline, but its connection may be reused for 4 s. A caller that sends the same ID again after a short deadline could have had its order reported as not run by a late copy of the earlier refusal. The memory now lasts 4 s longer.

TestRefusalIsRememberedWhileConnectionsLast failed before.

--- a/mesh/refused.go
+++ b/mesh/refused.go
@@ -6,12 +6,14 @@
 )
 
 // refusedMemoryMargin is how much longer than until its deadline a refused
-// request is remembered. The entry node may send it again until the deadline,
-// by a clock of its own.
-const refusedMemoryMargin = time.Second
+// request is remembered. The entry node may send it again until the deadline, by
+// a clock of its own, and a caller may send it again under the same ID. By the
+// end of the margin the connections on which a late copy of the refusal may
+// arrive have carried another request or are too old to be reused.
+const refusedMemoryMargin = maxTargetIdle + time.Second
 
 // refusedRequests holds the IDs of the requests that the target of this node
-// refused, until their deadlines. A request that is sent again keeps its ID, so
+// refused, until refusedMemoryMargin after their deadlines. A request that is sent again keeps its ID, so
 // the ID alone does not tell a second refusal from a late copy of the first. The
 // connection does, if it carried no request before.
 type refusedRequests struct {
--- a/mesh/refused_test.go
+++ b/mesh/refused_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // repeatingTarget refuses each order once and runs it when it arrives again.
@@ -92,3 +94,20 @@
 		t.Error("no order ran at the faulty target, so nothing was tested")
 	}
 }
+
+// Guards against a refusal that is forgotten while a connection on which its
+// late copy may arrive can be reused, and against one that is kept forever.
+func TestRefusalIsRememberedWhileConnectionsLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRefusedRequests()
+		r.add("x", time.Millisecond)
+		time.Sleep(maxTargetIdle)
+		if !r.has("x") {
+			t.Error("the refusal was forgotten before its connection became too old to be reused")
+		}
+		time.Sleep(2 * time.Second)
+		if len(r.ids) > 0 {
+			t.Errorf("%d refusals are kept", len(r.ids))
+		}
+	})
+}
