Budgets for the memory of bodies and for connections

Cause: a node allocated up to 1 MiB for each body at its announced length and kept the first megabyte of each stream, for as many connections as callers opened; the ports for nodes, heartbeats and readiness had no bound on bodies or connections; net/http reads the rest of a body without a time limit after an early answer. A few hundred clients that stop short of their end filled the machine's memory and descriptors. A target whose responses were read slowly also counted as stalled, so that orders were refused.

Change: one budget of bytes for bodies above 16 KiB and streams, taken as bytes arrive (limits.Memory); when it is short, the transfer that holds most for the longest time without progress ends, a request as not run. Bounds on connections in total and for each address that close the least useful one (limits.ConnGuard), and on outgoing connections. A bound on the bytes in flight to the target. Responses that have begun no longer count as stalled.

--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -29,6 +29,7 @@
 	overdueTimer *time.Timer
 	overdue      bool // the request has become overdue
 	sent         bool // Claim has succeeded; guarded by gate.mu
+	responded    bool // the target has begun its response; guarded by gate.mu
 
 	mu    sync.Mutex
 	state reservationState
@@ -117,7 +118,7 @@
 	g := r.gate
 	g.mu.Lock()
 	changed := false
-	if r.isOpen() && r.detector == g.detector && !r.countedEarly {
+	if r.isOpen() && r.detector == g.detector && !r.countedEarly && !r.responded {
 		r.overdue = true
 		if r.trial {
 			r.detector.EndTrial()
@@ -130,6 +131,19 @@
 	}
 }
 
+// ResponseStarted states that the target has begun its response. From then on the
+// request lasts as long as its reader takes, so it is no sign of a stalled target.
+func (r *Reservation) ResponseStarted() {
+	g := r.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.responded = true
+	if r.overdueTimer != nil {
+		r.overdueTimer.Stop()
+	}
+	g.open = slices.DeleteFunc(g.open, func(x *Reservation) bool { return x == r })
+}
+
 func (r *Reservation) isOpen() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -209,7 +223,7 @@
 	if o == Success {
 		g.adjustOverdueFactor(r.overdue)
 	}
-	if o == Neutral && r.sent {
+	if o == Neutral && r.sent && !r.responded {
 		g.observeStall(r, now)
 	}
 	switch {
--- a/limits/connlimiter.go
+++ b/limits/connlimiter.go
@@ -45,3 +45,6 @@
 
 // Open returns the number of open connections.
 func (l *ConnLimiter) Open() int { return int(l.open.Load()) }
+
+// Full reports whether the limit has been reached.
+func (l *ConnLimiter) Full() bool { return l.open.Load() >= l.limit.Load() }
--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -30,6 +30,10 @@
 	reserve(ctx context.Context, addr string, r admission.Request) (reservation, error)
 }
 
+// maxMemoryRefusals is how many host nodes may refuse a request for lack of
+// memory until it is given up, since its body is sent to each of them.
+const maxMemoryRefusals = 3
+
 // call is one request being dispatched to a target.
 type call struct {
 	d           *dispatcher
@@ -45,6 +49,8 @@
 	hedge       bool      // another attempt is in flight
 	retryRounds int       // rounds in which a retry asks host nodes
 
+	memoryRefusals int // attempts that were refused for lack of memory
+
 	otherZoneAsks int // host nodes of other zones that were asked for a slot
 }
 
@@ -115,7 +121,7 @@
 
 // mayRetry reports whether a failed request may go to another target.
 func (c *call) mayRetry(e *resultcode.Error) bool {
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || c.memoryRefusals >= maxMemoryRefusals {
 		return false
 	}
 	if e.Ran == resultcode.RanNo {
@@ -166,6 +172,9 @@
 	case resultcode.ShedByTarget:
 		c.delivered++
 		c.d.view.Refused(t.addr)
+	case resultcode.MemoryLimit:
+		c.memoryRefusals++
+		c.d.view.Refused(t.addr)
 	case resultcode.NoTarget:
 		c.d.view.TargetAbsent(t.addr)
 	case resultcode.PeerUnreachable, resultcode.PeerLost:
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopbridge/config/dynamic"
+	"hyssopbridge/limits"
 	"hyssopbridge/resultcode"
 )
 
@@ -21,6 +22,7 @@
 	stopping      func() bool
 	behind        func(version int64) bool // whether another node has a newer configuration
 	splitter      *dynamic.Splitter
+	resources     *resources
 	outboundCalls *outboundCalls
 	log           *eventLog
 	metrics       *metrics
@@ -29,6 +31,7 @@
 // ServeHTTP implements http.Handler.
 func (e *entryNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	boundUnreadBody(w, r)
 	w.Header()["Date"] = nil
 	if e.stopping() {
 		w.Header().Set("Connection", "close")
@@ -81,7 +84,12 @@
 	if err != nil {
 		return route, err
 	}
-	q, err := e.parseRequest(w, r, route, cfg, start)
+	if e.resources.outgoingFull() {
+		return route, notRun(resultcode.ConnectionLimit, "the node's connections to targets and nodes are in use")
+	}
+	account := e.resources.openAccount()
+	defer account.Close()
+	q, err := e.parseRequest(w, r, route, cfg, start, account)
 	if err != nil {
 		return route, err
 	}
@@ -100,13 +108,13 @@
 		return route, refusedError{err, e.dispatcher.retryAfter(route, service)}
 	}
 	defer resp.close()
-	if err := writeResponse(w, r.Method, resp); err != nil {
+	if err := writeResponse(w, r, resp); err != nil {
 		return route, abortError{err}
 	}
 	return route, nil
 }
 
-func (e *entryNode) parseRequest(w http.ResponseWriter, r *http.Request, route *dynamic.Route, cfg *dynamic.Config, start time.Time) (*request, error) {
+func (e *entryNode) parseRequest(w http.ResponseWriter, r *http.Request, route *dynamic.Route, cfg *dynamic.Config, start time.Time, account *limits.MemoryAccount) (*request, error) {
 	id := r.Header.Get(e.headers.RequestID)
 	if id == "" {
 		return nil, notRun(resultcode.BadRequest, "request lacks the header field %s", e.headers.RequestID)
@@ -118,11 +126,13 @@
 	if stated, ok := getMillis(r.Header, e.headers.DeadlineMs); ok {
 		left = min(left, stated)
 	}
-	q, err := e.readBody(w, r, id, cfg, start.Add(left))
+	q, err := e.readBody(w, r, id, cfg, start.Add(left), account)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, notRun(resultcode.BodyTooLarge, "chunked body exceeds the limit of %d bytes", cfg.Limits.BodyBytes)
+	case isMemoryLimit(err) || err != nil && account.Revoked():
+		return nil, e.resources.refuse(err)
 	case err != nil:
 		return nil, notRun(resultcode.BodyStalled, "read the request body: %w", err)
 	}
@@ -135,16 +145,17 @@
 
 // readBody reads a request whose caller may neither send more than the limit
 // nor take longer than the request's timeout.
-func (e *entryNode) readBody(w http.ResponseWriter, r *http.Request, id string, cfg *dynamic.Config, until time.Time) (*request, error) {
+func (e *entryNode) readBody(w http.ResponseWriter, r *http.Request, id string, cfg *dynamic.Config, until time.Time, account *limits.MemoryAccount) (*request, error) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return readRequest(r, id)
+		return readRequest(r, id, account)
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, cfg.Limits.BodyBytes)
-	q, err := readRequest(r, id)
+	monitor(r, account, e.now)
+	q, err := readRequest(r, id, account)
 	if err == nil && q.rest == nil {
 		// net/http sets the read deadline of the next request itself.
 		_ = control.SetReadDeadline(time.Time{}) // the connection is closed if this fails
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -70,6 +70,15 @@
 	}).Info("target failed a request")
 }
 
+func (l *eventLog) memoryRevoked(held int64, behind time.Duration) {
+	l.log.WithFields(log.Fields{"held_bytes": held, "behind_ms": behind.Milliseconds()}).Warn("memory limit: slow transfer ended")
+}
+
+// connectionLimit logs that a connection was closed for others or refused.
+func (l *eventLog) connectionLimit(listener, action, ip string) {
+	l.log.WithFields(log.Fields{"connections": listener, "action": action, "ip": ip}).Warn("connection limit")
+}
+
 func (l *eventLog) targetStatus(s admission.Status) {
 	l.log.WithFields(log.Fields{
 		"target": s.Target, "service": s.Service, "phase": s.Phase.String(), "gray": s.Ejected, "returning": s.Recovering,
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -11,6 +11,7 @@
 
 	"hyssopbridge/admission"
 	"hyssopbridge/filters"
+	"hyssopbridge/limits"
 	"hyssopbridge/resultcode"
 	"hyssopbridge/upstream"
 )
@@ -36,6 +37,7 @@
 	headers       *Headers
 	metrics       *metrics
 	refused       *refusedRequests
+	resources     *resources
 	addr          string
 	targetID      string // ID of the target that must run the request
 	callerService string // service of the host at which the request originated
@@ -65,7 +67,7 @@
 		httpResp.Body.Close()
 		return nil, admission.TransportError, e
 	}
-	resp, err := readResponse(httpResp)
+	resp, err := readResponse(httpResp, x.resources.openAccount())
 	if err != nil {
 		return nil, outcomeOfError(ctx, err), resultcode.New(resultcode.Truncated, "answer of the target ended early: %w", err)
 	}
@@ -129,19 +131,20 @@
 var errUnframed = fmt.Errorf("response without a length exceeds %d bytes", maxBuffered)
 
 // readResponse reads the response and buffers up to maxBuffered bytes of its
-// body.
-func readResponse(r *http.Response) (*response, error) {
+// body, whose memory is charged to account. If memory is short it buffers less.
+func readResponse(r *http.Response, account *limits.MemoryAccount) (*response, error) {
 	h := r.Header
 	filters.StripHeader(h)
 	delete(h, "Content-Length")
-	resp := &response{status: r.StatusCode, header: h}
+	resp := &response{status: r.StatusCode, header: h, account: account}
 	if r.Body == http.NoBody {
 		r.Body.Close()
 		return resp, nil
 	}
-	body, complete, err := readBuffered(r.Body, r.ContentLength)
-	if err != nil {
+	body, complete, err := readBuffered(r.Body, r.ContentLength, account.Take)
+	if err != nil && !isMemoryLimit(err) {
 		r.Body.Close()
+		account.Close()
 		return nil, err
 	}
 	resp.body = body
@@ -152,8 +155,10 @@
 	resp.rest, resp.restLen = r.Body, restLength(r.ContentLength, len(body))
 	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 		r.Body.Close()
+		account.Close()
 		return nil, errUnframed
 	}
+	account.Force(streamBytes)
 	return resp, nil
 }
 
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hyssopbridge/admission"
+	"hyssopbridge/limits"
 	"hyssopbridge/resultcode"
 	"hyssopbridge/upstream"
 )
@@ -29,6 +30,7 @@
 	metrics       *metrics
 	outboundCalls *outboundCalls
 	budget        *budget
+	resources     *resources
 	now           func() time.Duration // includes suspensions of the machine
 
 	targetAddr func() string // address of the target, which may change while the node runs
@@ -65,15 +67,21 @@
 		reserved.Release(admission.Neutral)
 		return nil, notRun(resultcode.DeadlineTooShort, "deadline passed before the request was sent")
 	}
+	size := q.size()
+	if !h.resources.acquireAtTarget(size) {
+		reserved.Release(admission.Neutral)
+		return nil, h.resources.refuse(errTargetMemory)
+	}
 	ctx, cancel := q.deadline.context(ctx, 0)
 	x := exchange{
-		client: h.client, headers: h.headers, metrics: h.metrics, refused: h.refused,
+		client: h.client, headers: h.headers, metrics: h.metrics, refused: h.refused, resources: h.resources,
 		addr: h.targetAddr(), targetID: r.Target, callerService: q.header.Get(h.headers.CallerService),
 	}
 	resent := h.refused.has(q.id)
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
+	h.resources.releaseAtTarget(size)
 	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
@@ -87,10 +95,15 @@
 		cancel()
 		return resp, err
 	}
-	resp.rest = &releasingBody{ReadCloser: resp.rest, release: func(e admission.Outcome) { reserved.Release(e); cancel() }}
+	reserved.ResponseStarted()
+	resp.rest = &releasingBody{ReadCloser: resp.rest, ctx: ctx, release: func(e admission.Outcome) { reserved.Release(e); cancel() }}
 	return resp, err
 }
 
+// errTargetMemory is why a request is not sent to a target that has enough bytes
+// in flight.
+var errTargetMemory = errors.New("the bodies in flight to the target fill its share of the host's memory")
+
 // isErrorResponse reports whether the target responded with a server error.
 func isErrorResponse(resp *response) bool {
 	return resp != nil && resp.status >= http.StatusInternalServerError
@@ -99,14 +112,21 @@
 // releasingBody releases the slot when a streamed response ends.
 type releasingBody struct {
 	io.ReadCloser
+	ctx     context.Context
 	release func(admission.Outcome)
 	ended   bool
 }
 
 // Read implements io.Reader.
 func (b *releasingBody) Read(p []byte) (int, error) {
+	// A request that ended before this read was ended by a slow reader of the
+	// response, or by the caller.
+	tooLate := b.ctx.Err() != nil
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	switch {
+	case err != nil && tooLate:
+		b.end(admission.Neutral)
+	case err != nil:
 		b.end(outcomeOfStreamEnd(err))
 	}
 	return n, err
@@ -195,7 +215,9 @@
 }
 
 func (h *hostNode) serveRun(w http.ResponseWriter, r *http.Request) {
-	resp, err := h.runReserved(r)
+	account := h.resources.openAccount()
+	defer account.Close()
+	resp, err := h.runReserved(w, r, account)
 	out := w.Header()
 	out["Date"] = nil
 	out[headerStatus] = []string{encodeField(encodeStatus(h.status()))}
@@ -208,12 +230,12 @@
 	}
 	defer resp.close()
 	out[headerFromTarget] = []string{"1"}
-	if err := writeResponse(w, r.Method, resp); err != nil {
+	if err := writeResponse(w, r, resp); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func (h *hostNode) runReserved(r *http.Request) (*response, *resultcode.Error) {
+func (h *hostNode) runReserved(w http.ResponseWriter, r *http.Request, account *limits.MemoryAccount) (*response, *resultcode.Error) {
 	held, ok := h.take(r.Header.Get(headerReservation))
 	if !ok {
 		return nil, notRun(resultcode.TargetDraining, "reservation is unknown or has expired")
@@ -223,11 +245,21 @@
 		held.reservation.Release(admission.Neutral)
 		return nil, notRun(resultcode.DeadlineTooShort, "no time left before the deadline")
 	}
-	q, err := readRequest(r, r.Header.Get(h.headers.RequestID))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(left)) // the body is read without a bound if this fails
+	monitor(r, account, h.now)
+	q, err := readRequest(r, r.Header.Get(h.headers.RequestID), account)
+	if isMemoryLimit(err) || err != nil && account.Revoked() {
+		held.reservation.Release(admission.Neutral)
+		return nil, h.resources.refuse(err)
+	}
 	if err != nil {
 		held.reservation.Release(admission.Neutral)
 		return nil, notRun(resultcode.CallerGone, "read the request body: %w", err)
 	}
+	if q.rest == nil {
+		_ = control.SetReadDeadline(time.Time{}) // the connection is closed if this fails
+	}
 	q.deadline = deadlineIn(left, h.now)
 	return h.run(r.Context(), held.reservation, held.req, q)
 }
--- /dev/null
+++ b/mesh/memory.go
@@ -0,0 +1,333 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopbridge/limits"
+	"hyssopbridge/resultcode"
+	"hyssopbridge/upstream"
+)
+
+// Resources is what the process may use. Zero values stand for defaults.
+type Resources struct {
+	MemoryBytes int64 // default 256 MiB
+	Sockets     int   // open sockets; default 3,900
+}
+
+const (
+	defaultMemoryBytes = 256 << 20
+	defaultSockets     = 3900
+
+	// bodyShare is the fraction of the memory that bodies may hold. The rest is for
+	// connections, the state of the fleet and garbage that is not yet collected.
+	bodyShare = 0.25
+	// connShare is the fraction of the memory that callers' connections may hold.
+	connShare = 0.25
+	// connBytes is what a caller's connection holds with a request in progress: its
+	// buffers and goroutines, those of the connection to the target or host node,
+	// and a small body.
+	connBytes = 48 << 10
+	// smallBody is the size up to which a body is not charged to the budget, since
+	// the limit on connections bounds small bodies. Such bodies are never refused
+	// for lack of memory.
+	smallBody = 16 << 10
+	// streamBytes is what a stream holds in the buffers of its connections.
+	streamBytes = 64 << 10
+
+	// Fractions of the sockets. The remainder is for the listeners, the store and
+	// the ports of the platform.
+	callerSockets   = 0.3
+	nodeSockets     = 0.25
+	outgoingSockets = 0.35
+	// perAddress is the fraction of a limit on connections that one remote address
+	// may hold.
+	perAddress = 0.75
+
+	// targetShare is the fraction of the memory that the request bodies in flight to
+	// the target of this host may hold there. The host has little more memory than
+	// the node, and the target's own needs come first.
+	targetShare = 0.25
+
+	// unreadBodyTimeout is how long the rest of a body is read whose request was
+	// answered early.
+	unreadBodyTimeout = 3 * time.Second
+)
+
+// withDefaults returns r without zero values.
+func (r Resources) withDefaults() Resources {
+	if r.MemoryBytes <= 0 {
+		r.MemoryBytes = defaultMemoryBytes
+	}
+	if r.Sockets <= 0 {
+		r.Sockets = defaultSockets
+	}
+	return r
+}
+
+// resources bounds the memory and sockets that callers, nodes and targets take.
+type resources struct {
+	memory   *limits.Memory
+	callers  *limits.ConnGuard
+	nodes    *limits.ConnGuard
+	outgoing *limits.ConnLimiter
+	atTarget byteLimit
+	// closeIdle closes idle outgoing connections.
+	closeIdle func()
+	log       *eventLog
+	metrics   *metrics
+}
+
+func newResources(r Resources, now func() time.Duration, log *eventLog, m *metrics) *resources {
+	r = r.withDefaults()
+	s := &resources{
+		outgoing: limits.NewConnLimiter(int(outgoingSockets * float64(r.Sockets))),
+		atTarget: byteLimit{limit: int64(targetShare * float64(r.MemoryBytes))},
+		log:      log, metrics: m,
+	}
+	s.memory = limits.NewMemory(int64(bodyShare*float64(r.MemoryBytes)), now, func(held int64, behind time.Duration) {
+		m.count(metricMemoryRevoked)
+		log.memoryRevoked(held, behind)
+	})
+	guard := func(name string, total int) *limits.ConnGuard {
+		return limits.NewConnGuard(total, int(perAddress*float64(total)), 0, now, func(action, ip string) {
+			m.count(metricConnLimit + "." + name + "_" + action)
+			log.connectionLimit(name, action, ip)
+		})
+	}
+	s.callers = guard("callers", min(int(callerSockets*float64(r.Sockets)), int(connShare*float64(r.MemoryBytes)/connBytes)))
+	s.nodes = guard("nodes", int(nodeSockets*float64(r.Sockets)))
+	return s
+}
+
+// Names of the metrics of limits.
+const (
+	metricMemoryRevoked = "mesh_memory_revoked_total"
+	metricMemoryRefused = "mesh_memory_refused_total"
+	metricConnLimit     = "mesh_connection_limit_total"
+)
+
+// openAccount returns an account for one body, or nil if nothing bounds memory.
+func (s *resources) openAccount() *limits.MemoryAccount {
+	if s == nil {
+		return nil
+	}
+	return s.memory.Open()
+}
+
+// acquireAtTarget counts the bytes of a request body that is sent to the target.
+// It reports false if the target has enough in flight.
+func (s *resources) acquireAtTarget(n int64) bool { return s == nil || s.atTarget.acquire(n) }
+
+// releaseAtTarget states that a request has ended for which acquireAtTarget
+// returned true.
+func (s *resources) releaseAtTarget(n int64) {
+	if s != nil {
+		s.atTarget.release(n)
+	}
+}
+
+// refuse counts a request that is refused for lack of memory.
+func (s *resources) refuse(err error) *resultcode.Error {
+	s.metrics.count(metricMemoryRefused)
+	return notRun(resultcode.MemoryLimit, "%w", err)
+}
+
+// outgoingFull reports whether no further outgoing connection can be opened.
+func (s *resources) outgoingFull() bool {
+	if s.outgoing.Full() {
+		s.closeIdle()
+	}
+	return s.outgoing.Full()
+}
+
+// limitDial returns a dial function whose connections count as outgoing.
+func (s *resources) limitDial(dial upstream.DialFunc) upstream.DialFunc {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		if err := s.outgoing.Acquire(); err != nil {
+			s.closeIdle()
+			if err := s.outgoing.Acquire(); err != nil {
+				s.metrics.count(metricConnLimit + ".outgoing_refused")
+				s.log.connectionLimit("outgoing", "refused", addr)
+				return nil, err
+			}
+		}
+		c, err := dial(ctx, addr)
+		if err != nil {
+			s.outgoing.Release()
+			return nil, err
+		}
+		return &countedConn{Conn: c, release: s.outgoing.Release}, nil
+	}
+}
+
+// countedConn calls release when it is closed.
+type countedConn struct {
+	net.Conn
+	release func()
+	once    sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
+
+// NetConn returns the underlying connection.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
+func dialTarget(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// byteLimit bounds the sum of sizes. A single one above the limit is admitted
+// alone.
+type byteLimit struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func (l *byteLimit) acquire(n int64) bool {
+	for {
+		used := l.used.Load()
+		if used > 0 && used+n > l.limit {
+			return false
+		}
+		if l.used.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+}
+
+func (l *byteLimit) release(n int64) { l.used.Add(-n) }
+
+// size returns the bytes of the request's body, as far as they are known.
+func (q *request) size() int64 { return int64(len(q.body)) + max(0, q.restLen) }
+
+// monitoredBody is a request body whose progress is measured while it is read.
+type monitoredBody struct {
+	io.ReadCloser
+	lag *limits.Lag
+	now func() time.Duration
+}
+
+// Read implements io.Reader.
+func (b *monitoredBody) Read(p []byte) (int, error) {
+	b.lag.Begin(b.now())
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.lag.Reset()
+		return n, err
+	}
+	b.lag.End(b.now(), n)
+	return n, err
+}
+
+// monitor makes the progress of the body count for the connection of r and for
+// the account, which holds the body's memory.
+func monitor(r *http.Request, account *limits.MemoryAccount, now func() time.Duration) {
+	if c := limits.ConnOf(r.Context()); c != nil && r.Body != nil && r.Body != http.NoBody {
+		r.Body = &monitoredBody{r.Body, &c.Body, now}
+		account.SetTransfer(&c.Body, c.CutReads)
+	}
+}
+
+// onDone is a reader that calls done when r has ended.
+type onDone struct {
+	r    io.Reader
+	done func()
+}
+
+// Read implements io.Reader.
+func (d *onDone) Read(p []byte) (int, error) {
+	n, err := d.r.Read(p)
+	if err != nil && d.done != nil {
+		d.done()
+		d.done = nil
+	}
+	return n, err
+}
+
+// boundUnreadBody bounds the time for which a body is read until its reader sets
+// a deadline of its own. Without it, net/http reads on without end if the request
+// is answered before its body has ended.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		// The connection is closed if this fails.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
+// readBuffered reads at most maxBuffered bytes and reports whether that was the
+// whole body. Memory is taken as bytes arrive. With the error of take, the bytes
+// that were read are returned.
+func readBuffered(r io.Reader, length int64, take func(n int64) error) (body []byte, complete bool, err error) {
+	size := int64(maxBuffered + 1) // one more shows whether the body is complete
+	if length >= 0 && length <= maxBuffered {
+		size = length
+	}
+	body = make([]byte, 0, min(size, firstPiece(length)))
+	for {
+		if int64(len(body)) == size {
+			break
+		}
+		if len(body) == cap(body) {
+			next := min(2*int64(cap(body)), size)
+			if next > smallBody {
+				if err := take(next - max(smallBody, int64(cap(body)))); err != nil {
+					return body, false, err
+				}
+			}
+			grown := make([]byte, len(body), next)
+			copy(grown, body)
+			body = grown
+		}
+		n, err := r.Read(body[len(body):min(int64(cap(body)), size)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			if length >= 0 && int64(len(body)) < size {
+				return nil, false, io.ErrUnexpectedEOF
+			}
+			return body, len(body) <= maxBuffered, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	if int64(len(body)) > maxBuffered {
+		return body, false, nil
+	}
+	// The reader reports the end, which makes the connection reusable, only when
+	// more is read.
+	n, err := r.Read(make([]byte, 1))
+	if n > 0 || (err != nil && err != io.EOF) {
+		return nil, false, io.ErrUnexpectedEOF
+	}
+	return body, true, nil
+}
+
+// firstPiece returns the size of the first buffer for a body.
+func firstPiece(length int64) int64 {
+	if length < 0 {
+		return unknownPiece
+	}
+	return smallBody
+}
+
+// unknownPiece is the first buffer for a body without a length. Most bodies are
+// shorter.
+const unknownPiece = 4 << 10
+
+// isMemoryLimit reports whether err is the refusal of a memory budget.
+func isMemoryLimit(err error) bool {
+	var e *resultcode.Error
+	return errors.As(err, &e) && e.Code == resultcode.MemoryLimit
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -11,6 +11,7 @@
 	"hyssopbridge/admission"
 	"hyssopbridge/config/dynamic"
 	"hyssopbridge/filters"
+	"hyssopbridge/limits"
 	"hyssopbridge/resultcode"
 )
 
@@ -29,6 +30,7 @@
 	body       []byte
 	rest       io.Reader // remainder after body; nil if body is complete
 	restLen    int64     // length of rest; -1 if unknown
+	account    *limits.MemoryAccount
 	idempotent bool
 	deadline   deadline
 	customer   *dynamic.Customer // nil if the request carries no known key
@@ -47,6 +49,7 @@
 	body    []byte
 	rest    io.ReadCloser // remainder after body; nil if body is complete
 	restLen int64         // length of rest; -1 if unknown
+	account *limits.MemoryAccount
 }
 
 // close closes a response that is not read to its end.
@@ -54,49 +57,36 @@
 	if resp.rest != nil {
 		resp.rest.Close()
 	}
+	resp.account.Close()
 }
 
 // readRequest reads the request and buffers up to maxBuffered bytes of its
-// body.
-func readRequest(r *http.Request, id string) (*request, error) {
+// body, whose memory is charged to account. Unless the body has a remainder,
+// account cannot be revoked afterwards.
+func readRequest(r *http.Request, id string, account *limits.MemoryAccount) (*request, error) {
 	h := r.Header.Clone()
 	filters.StripHeader(h)
 	delete(h, "Expect")
 	delete(h, "Content-Length")
-	req := &request{id: id, method: r.Method, host: r.Host, url: r.URL, header: h}
+	req := &request{id: id, method: r.Method, host: r.Host, url: r.URL, header: h, account: account}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		account.SetTransfer(nil, nil)
 		return req, nil
 	}
-	body, complete, err := readBuffered(r.Body, r.ContentLength)
+	body, complete, err := readBuffered(r.Body, r.ContentLength, account.Take)
 	if err != nil {
 		return nil, err
 	}
 	req.body = body
-	if !complete {
-		req.rest, req.restLen = r.Body, restLength(r.ContentLength, len(body))
+	if complete {
+		account.SetTransfer(nil, nil)
+		return req, nil
 	}
-	return req, nil
-}
-
-// readBuffered reads at most maxBuffered bytes and reports whether that was the
-// whole body.
-func readBuffered(r io.Reader, length int64) (body []byte, complete bool, err error) {
-	if length >= 0 && length <= maxBuffered {
-		body = make([]byte, length)
-		_, err = io.ReadFull(r, body)
-		if err != nil {
-			return nil, false, err
-		}
-		// The reader reports the end, which makes the connection reusable, only
-		// when more is read.
-		n, err := r.Read(make([]byte, 1))
-		if n > 0 || (err != nil && err != io.EOF) {
-			return nil, false, io.ErrUnexpectedEOF
-		}
-		return body, true, nil
+	if err := account.Take(streamBytes); err != nil {
+		return nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(r, maxBuffered+1))
-	return body, err == nil && len(body) <= maxBuffered, err
+	req.rest, req.restLen = r.Body, restLength(r.ContentLength, len(body))
+	return req, nil
 }
 
 func restLength(length int64, have int) int64 {
@@ -119,11 +109,16 @@
 		out.Header["User-Agent"] = nil // keeps Request.Write from adding its default
 	}
 	switch {
-	case q.rest != nil && q.restLen < 0:
-		out.Body, out.ContentLength = io.NopCloser(io.MultiReader(newReader(q.body), q.rest)), -1
-		out.TransferEncoding = []string{"chunked"}
 	case q.rest != nil:
-		out.Body, out.ContentLength = io.NopCloser(io.MultiReader(newReader(q.body), q.rest)), int64(len(q.body))+q.restLen
+		out.ContentLength = int64(len(q.body)) + q.restLen
+		if q.restLen < 0 {
+			out.ContentLength, out.TransferEncoding = -1, []string{"chunked"}
+		}
+		// The body is not sent again, so its first part is given up once it is sent.
+		account := q.account
+		first := &onDone{newReader(q.body), func() { account.Shrink(streamBytes) }}
+		out.Body = io.NopCloser(io.MultiReader(first, q.rest))
+		q.body = nil
 	case len(q.body) > 0:
 		out.Body, out.ContentLength = io.NopCloser(newReader(q.body)), int64(len(q.body))
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -38,6 +38,8 @@
 	OnDepartures func(held []Departure, knewEarlier bool)
 	Log          log.Interface
 	Seed         uint64
+	// Resources is what the process may use.
+	Resources Resources
 	// Clock includes the time for which the machine was suspended; clock.SinceBoot
 	// if nil.
 	Clock func() time.Duration
@@ -58,6 +60,7 @@
 	remote       *nodeClient
 	targetClient *upstream.Client
 	callerServer *callerServer
+	resources    *resources
 	nodeServer   *nodeServer
 
 	config        atomic.Pointer[configInForce]
@@ -100,14 +103,19 @@
 }
 
 func (n *Node) buildDataPath() {
-	n.targetClient = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
-	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
+	n.resources = newResources(n.cfg.Resources, n.now, n.log, n.metrics)
+	n.targetClient = upstream.NewClient(upstream.Config{Dial: n.resources.limitDial(dialTarget), MaxIdle: maxIdleToTarget})
+	between := upstream.NewClient(upstream.Config{Dial: n.resources.limitDial(DialNode), DialTimeout: reserveTimeout})
+	n.resources.closeIdle = func() {
+		n.targetClient.CloseIdle(true)
+		between.CloseIdle(true)
+	}
 	n.hostNode = &hostNode{
-		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), log: n.log, metrics: n.metrics,
+		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), resources: n.resources, log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
 		now: n.now, outboundCalls: &outboundCalls{now: n.now}, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, n.calledServicesAdmit, n.cfg.Seed),
 	}
-	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, onStatus: n.statusReceived}
+	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, onStatus: n.statusReceived}
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
@@ -115,7 +123,7 @@
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
 		stopping: n.stopping.Load, behind: n.peers.haveNewer, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
-		outboundCalls: n.hostNode.outboundCalls, log: n.log, metrics: n.metrics,
+		outboundCalls: n.hostNode.outboundCalls, resources: n.resources, log: n.log, metrics: n.metrics,
 	}
 }
 
@@ -158,13 +166,14 @@
 	if err != nil {
 		return fmt.Errorf("listener for callers: %w", err)
 	}
-	n.nodeServer = newNodeServer(http.HandlerFunc(n.serveNode), between)
-	n.callerServer = newCallerServer(n.entryNode, callers)
+	n.nodeServer = newNodeServer(http.HandlerFunc(n.serveNode), n.resources.nodes, between)
+	n.callerServer = newCallerServer(n.entryNode, n.resources.callers, callers)
 	go n.callerServer.serve()
 	return nil
 }
 
 func (n *Node) serveNode(w http.ResponseWriter, r *http.Request) {
+	boundUnreadBody(w, r)
 	if r.Header.Get(headerConfig) == "" {
 		n.hostNode.ServeHTTP(w, r)
 		return
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -32,6 +32,8 @@
 type nodeClient struct {
 	client  *upstream.Client
 	headers *Headers
+	// resources bounds the memory of responses.
+	resources *resources
 	// onStatus is called with each status that a host node sends.
 	onStatus func(addr string, s admission.Status)
 }
@@ -125,7 +127,7 @@
 		defer httpResp.Body.Close()
 		return nil, hopResult(httpResp)
 	}
-	resp, err := readResponse(httpResp)
+	resp, err := readResponse(httpResp, r.nodes.resources.openAccount())
 	if err != nil {
 		return nil, resultcode.New(resultcode.Truncated, "response of the host node ended early: %w", err)
 	}
--- a/mesh/response.go
+++ b/mesh/response.go
@@ -4,11 +4,18 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"hyssopbridge/limits"
 )
 
 // writeResponse writes a response to the caller or entry node. An error means
-// that the response is incomplete, so the connection must be aborted.
-func writeResponse(w http.ResponseWriter, method string, resp *response) error {
+// that the response is incomplete, so the connection must be aborted. A reader
+// that does not keep up may lose the response when memory is short.
+func writeResponse(w http.ResponseWriter, r *http.Request, resp *response) error {
+	method := r.Method
+	if c := limits.ConnOf(r.Context()); c != nil {
+		resp.account.SetTransfer(c.WriteLag(), c.Cut)
+	}
 	h := w.Header()
 	addFields(h, resp.header)
 	hasBody := method != http.MethodHead && resp.status != http.StatusNoContent && resp.status != http.StatusNotModified
@@ -28,6 +35,8 @@
 	if resp.rest == nil {
 		return nil
 	}
+	resp.body = nil
+	resp.account.Shrink(streamBytes)
 	_, err := io.Copy(w, resp.rest)
 	return err
 }
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -15,6 +15,7 @@
 
 	"hyssopbridge/config/dynamic"
 	"hyssopbridge/internal/drain"
+	"hyssopbridge/limits"
 )
 
 // defaultLimits apply until the first configuration is in force.
@@ -24,6 +25,7 @@
 // Each connection keeps the limits that were in force when it was opened.
 type callerServer struct {
 	handler  http.Handler
+	guard    *limits.ConnGuard
 	listener *drain.Listener
 	ended    chan struct{} // closed once no more connections are accepted
 
@@ -45,8 +47,8 @@
 	addr   net.Addr
 }
 
-func newCallerServer(h http.Handler, l *drain.Listener) *callerServer {
-	s := &callerServer{handler: h, listener: l, ended: make(chan struct{})}
+func newCallerServer(h http.Handler, guard *limits.ConnGuard, l *drain.Listener) *callerServer {
+	s := &callerServer{handler: h, guard: guard, listener: l, ended: make(chan struct{})}
 	s.setLimits(defaultLimits)
 	return s
 }
@@ -62,7 +64,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.handOver(c)
+		if admitted := s.guard.Admit(c); admitted != nil {
+			s.handOver(admitted)
+		}
 	}
 }
 
@@ -101,6 +105,7 @@
 		Handler: s.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
 		MaxHeaderBytes: l.HeaderBytes, ErrorLog: discardLog(),
 	})
+	s.guard.Install(srv.http.Server)
 	s.servers = append(s.servers, srv)
 	s.current = srv
 	go serveListener(srv.http, srv, srv.ended)
@@ -158,12 +163,22 @@
 // client closes first.
 const nodeIdleTimeout = time.Minute
 
-func newNodeServer(h http.Handler, l *drain.Listener) *nodeServer {
+// nodeHeaderTimeout and nodeHeaderBytes bound the header section of a request
+// between nodes, which is that of the caller with a few fields added.
+const (
+	nodeHeaderTimeout = 5 * time.Second
+	nodeHeaderBytes   = 256 << 10
+)
+
+func newNodeServer(h http.Handler, guard *limits.ConnGuard, l *drain.Listener) *nodeServer {
 	s := &nodeServer{
-		http:     drain.NewServer(&http.Server{Handler: h, IdleTimeout: nodeIdleTimeout, ErrorLog: discardLog()}),
+		http: drain.NewServer(&http.Server{
+			Handler: h, ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: nodeIdleTimeout, MaxHeaderBytes: nodeHeaderBytes, ErrorLog: discardLog(),
+		}),
 		listener: l, ended: make(chan struct{}),
 	}
-	go serveListener(s.http, l, s.ended)
+	guard.Install(s.http.Server)
+	go serveListener(s.http, guard.Listener(l), s.ended)
 	return s
 }
 
--- a/resultcode/table.go
+++ b/resultcode/table.go
@@ -17,6 +17,7 @@
 	{ClassShed, "class-shed", 503, RanNo, "Work of this class is refused under load."},
 	{NodeDraining, "node-leaving", 503, RanNo, "The node is shutting down and takes no new work."},
 	{RetryBudgetSpent, "retry-budget-spent", 503, RanUnknown, "The last attempt failed and no host node of the service admits a repeat."},
+	{MemoryLimit, "memory-limit", 503, RanNo, "The memory of the node or target for bodies is in use."},
 	{PeerUnreachable, "peer-unreachable", 503, RanNo, "No connection to the host node could be made."},
 	{PeerLost, "peer-lost", 502, RanUnknown, "The host node was lost before the answer arrived."},
 	{AnswerMismatch, "answer-mismatch", 502, RanUnknown, "An answer for another request arrived and was dropped."},
