--- a/mesh/notrun_test.go
+++ b/mesh/notrun_test.go
@@ -84,9 +84,9 @@
 	return entry, host
 }
 
-// sendOrder sends an order with a body of the given length, in chunks if length
+// sendOrderOfLength sends an order with a body of the given length, in chunks if length
 // is negative. It returns the status, or 0 if there was no response.
-func sendOrderOf(t *testing.T, n *Node, id string, length int, left time.Duration) int {
+func sendOrderOfLength(t *testing.T, n *Node, id string, length int, left time.Duration) int {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddr+"/order/1", bytes.NewReader(make([]byte, max(length, -length))))
 	if err != nil {
@@ -127,7 +127,7 @@
 func (g *headTarget) checkOrder(t *testing.T, entry *Node, length int, left time.Duration) {
 	t.Helper()
 	testutil.Eventually(t, "an order begins at the target", func() bool {
-		status := sendOrderOf(t, entry, "x", length, left)
+		status := sendOrderOfLength(t, entry, "x", length, left)
 		n := len(g.began)
 		if n > 1 {
 			t.Errorf("the order began %d times", n)
@@ -247,7 +247,7 @@
 					return c, err
 				}})
 				testutil.Eventually(t, "an order is sent to the host node", func() bool {
-					status := sendOrderOf(t, entry, "x", 3*maxBuffered, silentDeadline) // only long bodies are streamed between nodes
+					status := sendOrderOfLength(t, entry, "x", 3*maxBuffered, silentDeadline) // only long bodies are streamed between nodes
 					sent := false
 					for len(conns) > 0 {
 						c := <-conns
@@ -280,7 +280,7 @@
 		cancel()
 		_ = host.Stop(ctx, 0) // ends what is in flight
 	}()
-	if status := sendOrderOf(t, entry, "x", 7<<10, 0); isPromise(status) || len(g.began) != 1 {
+	if status := sendOrderOfLength(t, entry, "x", 7<<10, 0); isPromise(status) || len(g.began) != 1 {
 		t.Errorf("status %d, the order began %d times", status, len(g.began))
 	}
 	<-stopped
