limits, mesh: quotas of customers over all nodes

Cause: a customer's quota was read but bound nothing, and a key that a version withdraws still admitted requests that waited for a slot.

Change: limits.Quotas asks the owner of a customer's quota for a token for each request and owns the quotas of some customers itself; mesh/quota.go is its transport, by datagrams. Heartbeats state the live nodes of the sender's zone, the size of the fleet and whether the sender may own quotas, and those to other zones are sent at an even pace. Over the quota: 429 with Retry-After. A request that ends as not run gets its token back. The key is looked up again before a request is sent to a target for the first time.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -79,6 +79,8 @@
 	// state them.
 	Departures []Departure
 	Held       []Departure
+	LiveInZone int // live nodes of the sender's zone, with the sender
+	FleetSize  int // nodes that the sender knows, with itself and silent ones
 }
 
 // Bits of heartbeat.Flags.
@@ -87,6 +89,7 @@
 	flagConfigReader             // the sender reads the configuration from its source successfully
 	flagKnewEarlier              // the sender has known an earlier process of the receiver; only replies state it
 	flagStandby                  // the sender reads the configuration and sends the receiver a heartbeat every standbyHeartbeatInterval
+	flagOwnsQuotas               // the sender has run long enough to own quotas of customers
 )
 
 // maxHeartbeatBytes bounds a datagram. It stays below the usual MTU.
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -46,10 +46,27 @@
 	return nil, notRun(resultcode.UnknownKey, "version %d does not hold the key", cfg.Version)
 }
 
+// authorize reports whether the configuration in force still gives the key to
+// the customer that it belonged to in an earlier version. A request without a
+// customer needs no key.
+func (e *entryNode) authorize(customer *dynamic.Customer, key string, version int64) *resultcode.Error {
+	cfg := e.config()
+	if customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
+		return nil
+	}
+	if holder := cfg.Customer(key); holder == nil || holder.Name != customer.Name {
+		return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
+	}
+	return nil
+}
+
 // setCustomer replaces what the caller stated about its customer. The target
-// gets the customer's name and never the key.
-func (e *entryNode) setCustomer(q *request, customer *dynamic.Customer) {
+// gets the customer's name and never the key. The key is kept for as long as the
+// request waits, since a later version may withdraw it.
+func (e *entryNode) setCustomer(r *http.Request, q *request, customer *dynamic.Customer, version int64) {
+	key := r.Header.Get(e.headers.Key)
 	q.customer = customer
+	q.authorize = func() *resultcode.Error { return e.authorize(customer, key, version) }
 	delete(q.header, http.CanonicalHeaderKey(e.headers.Key))
 	name := http.CanonicalHeaderKey(e.headers.Customer)
 	delete(q.header, name)
--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -64,6 +64,10 @@
 		if err != nil {
 			return c.fail(last, err)
 		}
+		if err := c.authorize(); err != nil {
+			t.cancel()
+			return c.fail(last, err)
+		}
 		resp, err := c.runHedged(t)
 		if err == nil && !c.shouldRetry(resp) {
 			c.setFallback(nil)
@@ -81,6 +85,18 @@
 	}
 }
 
+// authorize checks the request's key again before the request is sent to a
+// target for the first time, since it may have waited for a slot.
+func (c *call) authorize() error {
+	if c.delivered > 0 || c.q.authorize == nil {
+		return nil
+	}
+	if err := c.q.authorize(); err != nil {
+		return err
+	}
+	return nil
+}
+
 // fail ends a request for which no further target was found. Proof that the
 // latest attempt was not run says nothing about earlier attempts.
 func (c *call) fail(last *resultcode.Error, reserveErr error) (*response, error) {
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -20,6 +20,7 @@
 	localService  func() string        // service of the target on this host
 	stopping      func() bool
 	behind        func(version int64) bool // whether another node has a newer configuration
+	quotas        *quotas
 	splitter      *dynamic.Splitter
 	outboundCalls *outboundCalls
 	log           *eventLog
@@ -81,11 +82,24 @@
 	if err != nil {
 		return route, err
 	}
-	q, err := e.parseRequest(w, r, route, cfg, start)
+	charged, err := e.quotas.take(r.Context(), customer, cfg.Version, route.Objective)
 	if err != nil {
 		return route, err
 	}
-	e.setCustomer(q, customer)
+	err = e.serveCustomer(w, r, route, cfg, customer, start)
+	if err != nil && asResultError(err).Ran == resultcode.RanNo {
+		charged.refund()
+	}
+	return route, err
+}
+
+// serveCustomer serves a request within the quota of its customer.
+func (e *entryNode) serveCustomer(w http.ResponseWriter, r *http.Request, route *dynamic.Route, cfg *dynamic.Config, customer *dynamic.Customer, start time.Time) error {
+	q, err := e.parseRequest(w, r, route, cfg, start)
+	if err != nil {
+		return err
+	}
+	e.setCustomer(r, q, customer, cfg.Version)
 	ctx, cancel := q.deadline.context(r.Context(), 0)
 	defer cancel()
 	service := e.splitter.Pick(route)
@@ -97,13 +111,13 @@
 		e.outboundCalls.recordFailure()
 	}
 	if err != nil {
-		return route, refusedError{err, e.dispatcher.retryAfter(route, service)}
+		return refusedError{err, e.dispatcher.retryAfter(route, service)}
 	}
 	defer resp.close()
 	if err := writeResponse(w, r.Method, resp); err != nil {
-		return route, abortError{err}
+		return abortError{err}
 	}
-	return route, nil
+	return nil
 }
 
 func (e *entryNode) parseRequest(w http.ResponseWriter, r *http.Request, route *dynamic.Route, cfg *dynamic.Config, start time.Time) (*request, error) {
@@ -152,15 +166,17 @@
 	return q, err
 }
 
-// writeError responds with an error of this node. Status 503 guarantees that
-// the request was not run; 502 and 504 leave open whether it was.
+// writeError responds with an error of this node. Status 429 and 503 guarantee
+// that the request was not run; 502 and 504 leave open whether it was.
 func (e *entryNode) writeError(w http.ResponseWriter, r *http.Request, resultErr *resultcode.Error, retryAfter time.Duration) {
 	h := w.Header()
 	status := resultErr.Code.Status()
 	switch {
 	case status >= 400 && status < 500 && resultErr.Ran == resultcode.RanNo && resultErr.Code != resultcode.RateLimited:
 	case resultErr.Ran == resultcode.RanNo:
-		status = http.StatusServiceUnavailable
+		if resultErr.Code != resultcode.RateLimited {
+			status = http.StatusServiceUnavailable
+		}
 		h[http.CanonicalHeaderKey(e.headers.RetryAfter)] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
 	case resultErr.Code == resultcode.Timeout:
 		status = http.StatusGatewayTimeout
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -32,6 +32,9 @@
 	idempotent bool
 	deadline   deadline
 	customer   *dynamic.Customer // nil if the request carries no known key
+	// authorize returns an error if the configuration in force no longer holds
+	// the request's key. It may be nil.
+	authorize func() *resultcode.Error
 	// fromRunProb is the probability that the target beside the entry node made
 	// the request as part of a run, which fails if this request does.
 	fromRunProb float64
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -18,6 +18,7 @@
 	"hyssopbridge/internal/clock"
 	"hyssopbridge/internal/drain"
 	"hyssopbridge/internal/loop"
+	"hyssopbridge/limits"
 	"hyssopbridge/placement"
 	"hyssopbridge/upstream"
 )
@@ -53,6 +54,7 @@
 	gate         *admission.Gate
 	view         *placement.View
 	peers        *peers
+	quotas       *quotas
 	hostNode     *hostNode
 	entryNode    *entryNode
 	remote       *nodeClient
@@ -95,6 +97,11 @@
 		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
 		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue), readerChanged: make(chan struct{}, 1),
 	}
+	n.quotas = &quotas{
+		core: limits.NewQuotas(cfg.GossipAddr, cfg.Zone, QuotaPolicy{}, n.now()), now: n.now, session: n.wallStart.UnixMilli(),
+		send: n.peers.sendDatagram, metrics: n.metrics,
+	}
+	n.peers.quotas = n.quotas
 	n.buildDataPath()
 	return n
 }
@@ -114,7 +121,7 @@
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, behind: n.peers.haveNewer, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
 		outboundCalls: n.hostNode.outboundCalls, log: n.log, metrics: n.metrics,
 	}
 }
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"hyssopbridge/placement"
@@ -97,6 +100,14 @@
 	// process that does not read, and readerChanged receives a value then.
 	readerReplaced time.Duration
 	readerChanged  chan struct{}
+
+	quotas     *quotas
+	liveInZone int  // other nodes of the own zone that were heard recently
+	ownsQuotas bool // the other nodes were told that this node may own quotas
+	// crossZoneDue is the number of heartbeats to other zones that are due, and
+	// crossZoneNext the place of the node that is next.
+	crossZoneDue  float64
+	crossZoneNext uint64
 }
 
 // scope selects the nodes to which a change is announced at once.
@@ -186,6 +197,7 @@
 	zone := p.identity().Zone
 	p.standbys = p.chooseStandbys()
 	crossZone := p.crossZoneInterval(zone)
+	paced := p.nextOfOtherZones(zone, crossZone)
 	var due, hello []netip.AddrPort
 	for addr, q := range p.byAddr {
 		interval := sameZoneInterval
@@ -199,7 +211,7 @@
 		if q.silent {
 			interval = max(interval, silentNodeInterval)
 		}
-		if now-q.lastSent < interval-heartbeatTick/2 {
+		if now-q.lastSent < interval-heartbeatTick/2 && !paced[addr] {
 			continue
 		}
 		q.lastSent = now
@@ -209,11 +221,47 @@
 			due = append(due, addr)
 		}
 	}
+	fleet := p.quotaFleet(now, zone, crossZone)
+	p.liveInZone = fleet.liveInZone
 	p.mu.Unlock()
+	p.quotas.tick(fleet)
+	if owns := p.quotas.core.Ready(); owns != p.ownsQuotas {
+		p.ownsQuotas = owns
+		p.announce(allZones)
+	}
 	p.send(due, 0)
 	p.send(hello, flagHello)
 }
 
+// nextOfOtherZones returns the live nodes of other zones whose turn it is. Each
+// node goes through the others in an order of its own and at an even pace, so
+// that each zone is heard at short and even intervals, also when many nodes
+// started or sent to all at the same moment.
+func (p *peers) nextOfOtherZones(zone string, interval time.Duration) map[netip.AddrPort]bool {
+	type place struct {
+		order uint64
+		addr  netip.AddrPort
+	}
+	var nodes []place
+	self := p.identity().Gossip
+	for addr, q := range p.byAddr {
+		if q.known && !q.silent && q.last.Zone != zone {
+			nodes = append(nodes, place{xxhash.Sum64String(self + " " + q.last.Gossip), addr})
+		}
+	}
+	slices.SortFunc(nodes, func(a, b place) int { return cmp.Compare(a.order, b.order) })
+	p.crossZoneDue = min(p.crossZoneDue+float64(len(nodes))*heartbeatTick.Seconds()/interval.Seconds(), float64(len(nodes)))
+	first, _ := slices.BinarySearchFunc(nodes, p.crossZoneNext, func(a place, next uint64) int { return cmp.Compare(a.order, next) })
+	chosen := map[netip.AddrPort]bool{}
+	for i := 0; p.crossZoneDue >= 1; i++ {
+		n := nodes[(first+i)%len(nodes)]
+		chosen[n.addr] = true
+		p.crossZoneNext = n.order + 1
+		p.crossZoneDue--
+	}
+	return chosen
+}
+
 // crossZoneInterval returns the interval between heartbeats to a node in
 // another zone.
 func (p *peers) crossZoneInterval(zone string) time.Duration {
@@ -267,7 +315,9 @@
 	p.mu.Lock()
 	p.sequence++
 	msg.Sequence = p.sequence
+	msg.LiveInZone, msg.FleetSize = p.liveInZone+1, len(p.byAddr)+1
 	p.mu.Unlock()
+	msg.Flags |= flagIf(p.quotas.core.Ready(), flagOwnsQuotas)
 	return msg
 }
 
@@ -308,11 +358,14 @@
 
 // handle processes a datagram. It reports whether the datagram was valid.
 func (p *peers) handle(b []byte, from netip.AddrPort) bool {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if len(b) > 0 && b[0] == quotaDatagram {
+		return p.isKnown(from) && p.quotas.handle(b[1:], from)
+	}
 	var msg heartbeat
 	if err := cbor.Unmarshal(b, &msg); err != nil {
 		return false
 	}
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	status, err := decodeStatus(msg.Status)
 	if err != nil || msg.Addr == "" || msg.Gossip != from.String() {
 		return false
@@ -335,7 +388,12 @@
 	q.replaced = q.replaced || (q.known && q.last.Started != msg.Started)
 	q.held = addDepartures(q.held, msg.Departures)
 	q.last, q.known, q.lastHeard, q.silent = msg, true, now, false
+	live := msg.LiveInZone
+	if msg.Zone == p.identity().Zone {
+		live = p.liveInZone
+	}
 	p.mu.Unlock()
+	p.quotas.core.Heard(now, from.String(), msg.Zone, live)
 	if fresh {
 		p.log.peerChanged(msg.Addr, msg.Zone, "node is known", 0)
 	}
@@ -353,6 +411,25 @@
 	return true
 }
 
+// isKnown reports whether a heartbeat of the node has been received.
+func (p *peers) isKnown(addr netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.byAddr[addr]
+	return q != nil && q.known
+}
+
+// sendDatagram sends a datagram that is not a heartbeat.
+func (p *peers) sendDatagram(b []byte, to netip.AddrPort) {
+	if len(b) > maxHeartbeatBytes {
+		p.metrics.count("mesh_datagrams_total.not_sent")
+		return
+	}
+	if _, err := p.conn.WriteToUDPAddrPort(b, to); err != nil {
+		p.metrics.count("mesh_datagrams_total.not_sent")
+	}
+}
+
 // isStale reports whether a heartbeat is older than the latest one of the node.
 // Start times come from wall clocks, which may be set back, so a new process
 // with an earlier start time is accepted once its predecessor has been silent.
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -45,6 +45,7 @@
 	ClassShed        Code = 1208
 	NodeDraining     Code = 1209
 	RetryBudgetSpent Code = 1210
+	QuotaUndecided   Code = 1211
 
 	PeerUnreachable    Code = 1301
 	PeerLost           Code = 1302
