--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -46,6 +46,7 @@
 	NodeDraining     Code = 1209
 	RetryBudgetSpent Code = 1210
 	MemoryLimit      Code = 1211
+	QuotaUndecided   Code = 1212
 
 	PeerUnreachable    Code = 1301
 	PeerLost           Code = 1302
