mesh: use a called service's budget before retried runs call it

While it sheds, its callers' runs fail and are retried, and each retried run makes its calls again. The called service announced that its budget was spent only after the fact: the status takes 1 to 2 s, and the calling service's own budget permits several times more retries. Its allowance was also too large, since calls of retried runs counted as requests, and 13% of these calls were attributed to other runs, because a run of twice the mean time was taken for hung.

Change: a called service states how many calls of retried runs it admits; each host of other services uses up an equal part when it admits a retry. Retries of the called service keep a share. Calls of retried runs no longer raise the allowance; runs count as hung after four mean times. TestRetriesRespectCalledServiceBudget now checks the sum of calls and retries against the allowance: before, calls alone could use 85% and retries were refused at 60%; now both have a share and the sum is bounded.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -102,9 +102,9 @@
 	Risk          float64       // probability that a request sent now fails because of a gray failure
 	Idle          time.Duration // time since the target got its newest request
 	AdmitsRetries bool          // a retry would be admitted
-	// AdmitsRetryCalls tells whether a call made by the run of a retry at another
-	// service would be admitted.
-	AdmitsRetryCalls bool
+	// RetryCalls is the number of calls in a window of the retry budget that
+	// retried runs of other services may make to the target.
+	RetryCalls float64
 }
 
 // reservationTTL is how long a slot is held for a reservation that is not
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -7,7 +7,6 @@
 
 	"hyssopbridge/admission"
 	"hyssopbridge/limits"
-	"hyssopbridge/placement"
 )
 
 // RetryPolicy bounds the retries of all nodes together, hedges included.
@@ -26,10 +25,18 @@
 	// not run, and without one it is refused; a retry or hedge of an idempotent
 	// request often only saves time.
 	orderShare = 0.8
-	// nestedCallShare is the fraction up to which the calls that retried runs
-	// make may use the allowance. Beyond it, services that call this one make
-	// no retries.
+	// nestedCallShare is the fraction up to which retries and the calls that
+	// retried runs make may use the allowance together, and maxCallShare the
+	// fraction up to which such calls alone may. directShare is the fraction
+	// that is left for retries of this service even so: a retry of a failed call
+	// costs one request here, a retry of the run that made it repeats all its
+	// calls.
 	nestedCallShare = 0.85
+	maxCallShare    = 0.7
+	directShare     = 0.2
+	// mostShare is the fraction beyond which neither is admitted, whatever the
+	// shares, since calls are attributed to retried runs by probabilities.
+	mostShare = 0.95
 	// minAssumedHosts is the smallest number of hosts among which the slack of
 	// a service is divided. A node that knows few other hosts must not claim
 	// their share.
@@ -47,17 +54,19 @@
 	now    func() time.Duration
 	policy func() RetryPolicy
 	hosts  func() int // number of hosts of the service
-	// calledServicesAdmit reports whether the services that a run calls would
-	// admit the calls of a retried run, which count as retries there.
-	calledServicesAdmit func() bool
+	// calls bounds the calls that the retried runs make to other services, which
+	// count as retries there.
+	calls *callBudget
 
-	mu       sync.Mutex
-	maxHosts int // largest number of hosts of the service seen so far
-	window   *limits.RetryBudget
+	mu            sync.Mutex
+	maxHosts      int     // largest number of hosts of the service seen so far
+	calledByRetry float64 // first attempts made by retried runs that are not yet left out of the requests
+	// window counts retries and calls of retried runs, direct the retries alone.
+	window, direct *limits.RetryBudget
 }
 
-func newBudget(now func() time.Duration, policy func() RetryPolicy, hosts func() int, calledServicesAdmit func() bool, seed uint64) *budget {
-	return &budget{now: now, policy: policy, hosts: hosts, calledServicesAdmit: calledServicesAdmit, window: limits.NewRetryBudget(seed)}
+func newBudget(now func() time.Duration, policy func() RetryPolicy, hosts func() int, calls *callBudget, seed uint64) *budget {
+	return &budget{now: now, policy: policy, hosts: hosts, calls: calls, window: limits.NewRetryBudget(seed), direct: limits.NewRetryBudget(seed + 1)}
 }
 
 // reserve reserves a slot for a request and counts the request.
@@ -69,53 +78,74 @@
 	reserved, reason := g.Reserve(ctx, r)
 	switch {
 	case reserved == nil && r.Retry:
-		b.window.Spend(b.now(), -1)
+		b.spend(-1)
+		b.calls.giveBack(runSource(r.Idempotent))
 	case reserved != nil && !r.Retry:
-		b.window.RecordRequest(b.now())
-		b.window.Spend(b.now(), r.CalledByRetry)
+		b.recordFirst(r.CalledByRetry)
 	}
 	return reserved, reason
 }
 
+// recordFirst counts the first attempt of a request, which counts as a retry with
+// the given probability. Such attempts add nothing to the allowance.
+func (b *budget) recordFirst(calledByRetry float64) {
+	now := b.now()
+	b.window.Spend(now, calledByRetry)
+	b.mu.Lock()
+	b.calledByRetry += calledByRetry
+	isRequest := b.calledByRetry < 1
+	if !isRequest {
+		b.calledByRetry--
+	}
+	b.mu.Unlock()
+	if isRequest {
+		b.window.RecordRequest(now)
+		b.direct.RecordRequest(now)
+	}
+}
+
 // admitRetry reports whether the allowance permits a retry, and counts it if so.
 func (b *budget) admitRetry(r admission.Request) bool {
-	now := b.now()
-	switch {
-	case !b.calledServicesAdmit():
-		return false
-	case r.Idempotent:
-		return b.window.Allow(now)
-	case b.remaining(orderShare, now) < 1:
+	if !b.hasRoom(r.Idempotent) || !b.calls.admit(runSource(r.Idempotent)) {
 		return false
 	}
-	b.window.Spend(now, 1)
+	b.spend(1)
 	return true
 }
 
-// remaining returns how many retries are left until they use a fraction of the
-// service's allowance.
-func (b *budget) remaining(share float64, now time.Duration) float64 {
-	return b.window.Remaining(now) + (share/budgetShare-1)*b.window.Allowance(now)
+// hasRoom reports whether the allowance permits a retry.
+func (b *budget) hasRoom(idempotent bool) bool {
+	now := b.now()
+	share := budgetShare
+	if !idempotent {
+		share = orderShare
+	}
+	return b.remaining(b.window, share, now) >= 1 || b.remaining(b.direct, directShare, now) >= 1 && b.remaining(b.window, mostShare, now) >= 1
 }
 
-// available reports whether a retry would be admitted, and whether a retried
-// run at another service may call this one.
-func (b *budget) available() (retries, calls bool) {
-	b.configure()
-	now := b.now()
-	retries = b.window.Remaining(now) >= 1 && b.calledServicesAdmit()
-	return retries, b.remaining(nestedCallShare, now) >= 0
+func (b *budget) spend(retries float64) {
+	b.window.Spend(b.now(), retries)
+	b.direct.Spend(b.now(), retries)
+}
+
+// remaining returns how many retries are left until those of a window use a
+// fraction of the service's allowance.
+func (b *budget) remaining(w *limits.RetryBudget, share float64, now time.Duration) float64 {
+	return w.Remaining(now) + (share/budgetShare-1)*w.Allowance(now)
 }
 
-// servicesAdmitCalls reports whether at least half of the hosts of each service
-// would admit calls of a retried run.
-func servicesAdmitCalls(v *placement.View, services []string) bool {
-	for _, s := range services {
-		if !v.AdmitsRetryCalls(s) {
-			return false
-		}
+// available reports whether a retry of an idempotent request would be admitted,
+// and how many calls in a window retried runs of other services may make to the
+// target.
+func (b *budget) available() (retries bool, calls float64) {
+	b.configure()
+	now := b.now()
+	retries = b.hasRoom(true) && b.calls.admits(idempotentRuns)
+	if b.remaining(b.window, mostShare, now) < 0 {
+		return retries, 0
 	}
-	return true
+	most := b.direct.Allowance(now) / budgetShare
+	return retries, max(0, min(maxCallShare*most, b.remaining(b.direct, nestedCallShare, now)))
 }
 
 func (b *budget) configure() {
@@ -126,5 +156,7 @@
 	b.mu.Unlock()
 	ramp := min(1, b.now().Seconds()/budgetRamp.Seconds())
 	// Each host's allowance is rounded at random, by half a retry on average.
-	b.window.Configure(budgetShare*p.Ratio, max(0, ramp*budgetShare*p.Slack/hosts-0.5))
+	for _, w := range []*limits.RetryBudget{b.window, b.direct} {
+		w.Configure(budgetShare*p.Ratio, max(0, ramp*budgetShare*p.Slack/hosts-0.5))
+	}
 }
--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -6,17 +6,28 @@
 	"time"
 
 	"hyssopbridge/admission"
+	"hyssopbridge/placement"
 )
 
-// testBudget returns the budget of one of four hosts and its gate.
-func testBudget(p RetryPolicy, started time.Duration, calledServicesAdmit func() bool) (*budget, *admission.Gate) {
+// testBudget returns the budget of one of four hosts and its gate. Runs at its
+// target make one call to a service, whose host admits retryCalls calls of
+// retried runs.
+func testBudget(p RetryPolicy, started time.Duration, retryCalls float64) (*budget, *admission.Gate) {
 	now := func() time.Duration { return started }
 	g := admission.NewGate(now, admission.DefaultDetectorConfig(), nil)
 	g.SetTarget(admission.Target{ID: "t", Service: "s", Slots: 1000, Phase: admission.Serving})
-	return newBudget(now, func() RetryPolicy { return p }, func() int { return 4 }, calledServicesAdmit, 1), g
+	view := placement.NewView(placement.DefaultConfig("", "z"), now, 1)
+	view.Update(placement.Host{Addr: "c", Zone: "z"}, admission.Status{Target: "c", Service: "called", Phase: admission.Serving, RetryCalls: retryCalls})
+	calls := &outboundCalls{now: now}
+	for range 20 {
+		run := calls.beginRun(idempotentRuns, false)
+		calls.record("nested", "called")
+		calls.endRun(run, admission.Success)
+	}
+	return newBudget(now, func() RetryPolicy { return p }, func() int { return 4 }, newCallBudget(now, view, calls, 1), 1), g
 }
 
-func admitsCalls() bool { return true }
+const unlimitedCalls = 1e6
 
 func admittedRetries(b *budget, g *admission.Gate, tries int) int {
 	n := 0
@@ -33,7 +44,7 @@
 // second time.
 func TestHostRetryBudget(t *testing.T) {
 	policy := RetryPolicy{Ratio: 0.2, Slack: 80}
-	b, g := testBudget(policy, time.Minute, admitsCalls)
+	b, g := testBudget(policy, time.Minute, unlimitedCalls)
 	first := admission.Request{Target: "t", Service: "s", Idempotent: true}
 	for range 100 {
 		if reserved, reason := b.reserve(context.Background(), g, first); reserved == nil {
@@ -49,7 +60,7 @@
 	if reserved, reason := b.reserve(context.Background(), g, first); reserved == nil {
 		t.Errorf("a first attempt was refused: %s", reason)
 	}
-	b, g = testBudget(policy, 0, admitsCalls)
+	b, g = testBudget(policy, 0, unlimitedCalls)
 	if got := admittedRetries(b, g, 100); got > 1 {
 		t.Errorf("%d retries admitted at the start of the process", got)
 	}
@@ -58,30 +69,34 @@
 // Guards against retries whose nested calls exceed the budget of the called
 // service.
 func TestRetriesRespectCalledServiceBudget(t *testing.T) {
-	b, g := testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, func() bool { return false })
+	b, g := testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, 0)
 	left, _ := b.available()
 	if got := admittedRetries(b, g, 10); got != 0 || left {
 		t.Errorf("%d retries admitted, budget left %v, although the called service has none", got, left)
 	}
-	b, g = testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, admitsCalls)
+	b, g = testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, unlimitedCalls)
 	call := admission.Request{Target: "t", Service: "s", Idempotent: true, CalledByRetry: 1}
-	for n := 0; ; n++ {
-		if _, calls := b.available(); !calls {
-			break
-		}
-		if n == 200 {
+	n := 0
+	for _, calls := b.available(); float64(n) < calls; _, calls = b.available() {
+		if n++; n == 200 {
 			t.Fatal("calls of retried runs use no budget")
 		}
 		b.reserve(context.Background(), g, call)
 	}
-	if got := admittedRetries(b, g, 10); got != 0 {
-		t.Errorf("%d retries admitted on top of the calls of retried runs", got)
+	if got, most := admittedRetries(b, g, 100), 0.2*float64(n)+80/4; n == 0 || float64(got+n) > most {
+		t.Errorf("%d calls of retried runs and %d retries admitted, want some calls and at most %.1f", n, got, most)
+	}
+	for range 200 {
+		b.reserve(context.Background(), g, call)
+	}
+	if _, calls := b.available(); calls != 0 || admittedRetries(b, g, 10) != 0 {
+		t.Errorf("%.1f calls of retried runs or retries admitted although calls have used up the budget", calls)
 	}
 }
 
 // Guards against a refused reservation that is charged as a retry.
 func TestRefusedRetryIsNotCharged(t *testing.T) {
-	b, g := testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, admitsCalls)
+	b, g := testBudget(RetryPolicy{Ratio: 0.2, Slack: 80}, time.Minute, unlimitedCalls)
 	g.Stop()
 	admittedRetries(b, g, 100)
 	if left, _ := b.available(); !left {
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -24,6 +24,8 @@
 	TrialIn int64
 	Idle    int64
 	Risk    int64 // in thousandths
+	// RetryCalls is in tenths.
+	RetryCalls int64
 }
 
 // Bits of wireStatus.Flags.
@@ -34,7 +36,6 @@
 	flagRecovering
 	flagTested
 	flagAdmitsRetries
-	flagAdmitsRetryCalls
 )
 
 // wireReservation is the wire form of admission.Request. Times are in
@@ -102,10 +103,10 @@
 func encodeStatus(s admission.Status) wireStatus {
 	return wireStatus{
 		Target: s.Target, Service: s.Service, Phase: uint8(s.Phase),
-		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries) | flagIf(s.AdmitsRetryCalls, flagAdmitsRetryCalls),
+		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		TrialIn: s.TrialIn.Milliseconds(), Idle: s.Idle.Milliseconds(),
-		Risk: toThousandths(s.Risk),
+		Risk: toThousandths(s.Risk), RetryCalls: int64(math.Round(10 * s.RetryCalls)),
 	}
 }
 
@@ -116,11 +117,11 @@
 	return admission.Status{
 		Target: w.Target, Service: w.Service, Phase: admission.Phase(w.Phase),
 		Stopping: w.Flags&flagStopping != 0, Ejected: w.Flags&flagEjected != 0, Cold: w.Flags&flagCold != 0, Recovering: w.Flags&flagRecovering != 0,
-		Tested: w.Flags&flagTested != 0, AdmitsRetries: w.Flags&flagAdmitsRetries != 0, AdmitsRetryCalls: w.Flags&flagAdmitsRetryCalls != 0,
+		Tested: w.Flags&flagTested != 0, AdmitsRetries: w.Flags&flagAdmitsRetries != 0,
 		Slots: w.Slots, Running: w.Running, Waiting: w.Waiting,
 		TrialIn: time.Duration(w.TrialIn) * time.Millisecond,
 		Idle:    time.Duration(w.Idle) * time.Millisecond,
-		Risk:    float64(w.Risk) / 1000,
+		Risk:    float64(w.Risk) / 1000, RetryCalls: float64(w.RetryCalls) / 10,
 	}, nil
 }
 
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -204,6 +204,7 @@
 			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), TrialIn: millis("trial"),
 			Recovering:    rapid.Bool().Draw(t, "returning"),
 			AdmitsRetries: rapid.Bool().Draw(t, "admits retries"), Risk: float64(rapid.IntRange(0, 1000).Draw(t, "risk")) / 1000,
+			RetryCalls: float64(rapid.IntRange(0, 100_000).Draw(t, "retry calls")) / 10,
 		}
 		var wire wireStatus
 		if err := decodeField(encodeField(encodeStatus(s)), &wire); err != nil {
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -52,7 +52,7 @@
 // status returns the status that is sent to other nodes.
 func (h *hostNode) status() admission.Status {
 	s := h.gate.Status()
-	s.AdmitsRetries, s.AdmitsRetryCalls = h.budget.available()
+	s.AdmitsRetries, s.RetryCalls = h.budget.available()
 	return s
 }
 
@@ -77,7 +77,7 @@
 	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
-	h.outboundCalls.endRun(run, outcome == admission.Success)
+	h.outboundCalls.endRun(run, outcome)
 	h.metrics.target(outcome, time.Since(start))
 	if err != nil {
 		h.log.targetFailed(q.id, r, targetFailure{outcome, err, time.Since(start), reserved.Trial(), resent})
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// smallCalledService is a fleet where half of the runs of a large service call
+// a service with a ninth of its targets.
+func smallCalledService(seed uint64) *simulation {
+	const ms = time.Millisecond
+	return &simulation{
+		zones: 4, seed: seed, duration: 36 * time.Second, period: 9 * time.Second, grayShare: 1, failShare: 0.5, mode: shedding, together: true, grayService: "depot",
+		hosts: []simService{{name: "desk", count: 45, slots: 8}, {name: "depot", count: 5, slots: 8}},
+		classes: []simClass{
+			{simRoute("read", "desk", true, 1200*ms, 2500*ms, 3, 2), 220, 260 * ms, 0.7, "check", 1.3},
+			{simRoute("order", "desk", false, 1200*ms, 3000*ms, 2, 1), 180, 330 * ms, 0.5, "", 0},
+			{simRoute("file", "depot", true, 1200*ms, 3000*ms, 3, 2), 22, 210 * ms, 0.7, "", 0},
+			{simRoute("check", "depot", true, 250*ms, 800*ms, 3, 0), 0, 64 * ms, 0.5, "", 0},
+		},
+	}
+}
+
 // served returns the fraction of requests that got a good response, in time
 // or late.
 func (t *simTally) served() float64 {
@@ -180,6 +196,20 @@
 	}
 }
 
+// Guards against retries whose runs make more calls than the budget of the
+// called service covers, or against runs that are lost because the budget went to
+// retries of runs in place of retries of calls. For a third of the time the
+// called service sheds half of its requests, so that the runs which call it fail;
+// the budget of their own service would permit to repeat most of them.
+func TestCallsOfRetriesWithinBudget(t *testing.T) {
+	got := runSimulations(t, 2, smallCalledService)
+	read := got["read"]
+	// Without any retry 0.80 would be served: a run makes 1.3 calls on average.
+	if least := 0.83; read.served() < least {
+		t.Errorf("%.3f of %d reads were served, want at least %.3f", read.served(), read.all, least)
+	}
+}
+
 // Guards against requests that ask a host whose target accepts no connections
 // again and again until their deadline. The archive has two targets, which
 // accept no connections for 30% of the time, and more load than one of them can
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -102,10 +102,11 @@
 func (n *Node) buildDataPath() {
 	n.targetClient = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
 	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
+	calls := &outboundCalls{now: n.now}
 	n.hostNode = &hostNode{
 		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
-		now: n.now, outboundCalls: &outboundCalls{now: n.now}, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, n.calledServicesAdmit, n.cfg.Seed),
+		now: n.now, outboundCalls: calls, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
 	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, onStatus: n.statusReceived}
 	d := &dispatcher{
@@ -261,12 +262,6 @@
 // serviceHosts returns the number of hosts of this node's service.
 func (n *Node) serviceHosts() int { return n.view.Count(*n.service.Load()) }
 
-// calledServicesAdmit reports whether the services that the target beside this
-// node calls would admit the calls of a retried run.
-func (n *Node) calledServicesAdmit() bool {
-	return servicesAdmitCalls(n.view, n.hostNode.outboundCalls.calledServices())
-}
-
 // SetRetryPolicy replaces the bounds on retries.
 func (n *Node) SetRetryPolicy(p RetryPolicy) { n.retryPolicy.Store(&p) }
 
--- a/mesh/outboundcalls.go
+++ b/mesh/outboundcalls.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"hyssopbridge/admission"
 )
 
 // outboundCalls estimates which run at the target beside this node made a call
@@ -20,7 +22,8 @@
 	completed   [numSources]float64 // runs that succeeded
 	busySeconds [numSources]float64 // total run time of completed
 	calls       [numSources]float64
-	byService   map[string]float64     // calls made by idempotent runs, by called service
+	finished    [numSources]float64 // runs that made their calls: they succeeded, or failed because of one
+	byService   map[string]*[numSources]float64
 	byRoute     map[string]*routeCalls // requests that originated on this host
 	runs        float64                // runs that succeeded, weighted like the requests in byRoute
 	observed    float64                // seconds
@@ -67,7 +70,7 @@
 	priorBusySeconds = 0.5
 	// hungRunFactor is the multiple of the mean run time after which an active
 	// run is assumed to make no more calls.
-	hungRunFactor = 2
+	hungRunFactor = 4
 	// calledShare is the fraction of runs that must call a service or a route for
 	// it to count as called by them.
 	calledShare = 0.1
@@ -100,14 +103,18 @@
 	return r
 }
 
-// endRun records the end of a run. Only successful runs count, since a failing
-// target may end runs early and without the calls that they usually make.
-func (c *outboundCalls) endRun(r *activeRun, succeeded bool) {
+// endRun records the end of a run. Run times come from successful runs, since a
+// failing target may end runs early and without the calls that they usually
+// make. A run that failed because of a call has made its calls, too.
+func (c *outboundCalls) endRun(r *activeRun, outcome admission.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay()
 	delete(c.active, r)
-	if succeeded {
+	if outcome == admission.Success || outcome == admission.CallFailed {
+		c.finished[r.source]++
+	}
+	if outcome == admission.Success {
 		c.completed[r.source]++
 		c.runs++
 		c.busySeconds[r.source] += (c.updated - r.start).Seconds()
@@ -138,13 +145,17 @@
 	if sum == 0 || byRun == 0 {
 		return 0, 0
 	}
-	for s := range numSources {
-		c.calls[s] += byRun * weights[s] / sum
-	}
 	if c.byService == nil {
-		c.byService = map[string]float64{}
+		c.byService = map[string]*[numSources]float64{}
+	}
+	if c.byService[service] == nil {
+		c.byService[service] = &[numSources]float64{}
+	}
+	for s := range numSources {
+		n := byRun * weights[s] / sum
+		c.calls[s] += n
+		c.byService[service][s] += n
 	}
-	c.byService[service] += byRun * weights[idempotentRuns] / sum
 	return byRun, byRun * byRetries / sum
 }
 
@@ -201,15 +212,16 @@
 	return min(1, r.idle/max(c.idle, minIdleSeconds)*c.observed/r.all)
 }
 
-// calledServices returns the services that idempotent runs call.
-func (c *outboundCalls) calledServices() []string {
+// callsPerRun returns the services that runs of a source call and the mean
+// number of calls that a run makes to each.
+func (c *outboundCalls) callsPerRun(s callSource) map[string]float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay()
-	var out []string
+	out := map[string]float64{}
 	for service, n := range c.byService {
-		if n > calledShare*(1+c.completed[idempotentRuns]) {
-			out = append(out, service)
+		if n[s] > calledShare*(1+c.finished[s]) {
+			out[service] = n[s] / (1 + c.finished[s])
 		}
 	}
 	return out
@@ -247,11 +259,14 @@
 	keep := math.Exp(-elapsed.Seconds() / callsDecayTime.Seconds())
 	for s := range numSources {
 		c.completed[s] *= keep
+		c.finished[s] *= keep
 		c.busySeconds[s] *= keep
 		c.calls[s] *= keep
 	}
 	for service := range c.byService {
-		c.byService[service] *= keep
+		for s := range numSources {
+			c.byService[service][s] *= keep
+		}
 	}
 	keepRoutes := routesDecay(elapsed)
 	c.runs *= keepRoutes
--- a/mesh/outboundcalls_test.go
+++ b/mesh/outboundcalls_test.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"hyssopbridge/admission"
 	"hyssopbridge/internal/clock"
 )
 
@@ -39,7 +41,7 @@
 		retry := r.Float64() < k.retryShare
 		run := c.beginRun(s, retry)
 		if r.Float64() < k.hungShare {
-			events[now+time.Second] = append(events[now+time.Second], func() { c.endRun(run, false) })
+			events[now+time.Second] = append(events[now+time.Second], func() { c.endRun(run, admission.TransportError) })
 			return
 		}
 		if r.Float64() < k.callShare {
@@ -53,7 +55,7 @@
 				onCall(true, run)
 			})
 		}
-		events[now+k.duration] = append(events[now+k.duration], func() { c.endRun(run, true) })
+		events[now+k.duration] = append(events[now+k.duration], func() { c.endRun(run, admission.Success) })
 	}
 	for ; now < length; now += step {
 		for _, f := range events[now] {
@@ -72,7 +74,7 @@
 			onCall(false, run)
 		}
 	}
-	return made, estimated, c.calledServices()
+	return made, estimated, slices.Collect(maps.Keys(c.callsPerRun(idempotentRuns)))
 }
 
 // Guards against exceeding the retry budget of a called service because the
@@ -165,20 +167,20 @@
 func TestCallRateIgnoresFailedRuns(t *testing.T) {
 	now := time.Duration(0)
 	c := &outboundCalls{now: func() time.Duration { return now }}
-	run := func(took time.Duration, n int, succeeded bool) {
+	run := func(took time.Duration, n int, outcome admission.Outcome) {
 		r := c.beginRun(idempotentRuns, false)
 		for range n {
 			c.record("nested", "called")
 		}
 		now += took
-		c.endRun(r, succeeded)
+		c.endRun(r, outcome)
 	}
 	for range 4 {
-		run(400*time.Millisecond, 2, true)
+		run(400*time.Millisecond, 2, admission.Success)
 	}
 	before := c.rate(idempotentRuns)
 	for range 50 {
-		run(time.Millisecond, 0, false)
+		run(time.Millisecond, 0, admission.TransportError)
 	}
 	if after := c.rate(idempotentRuns); after < 0.95*before {
 		t.Errorf("call rate %v, after 50 failed runs %v", before, after)
--- a/mesh/protocol_test.go
+++ b/mesh/protocol_test.go
@@ -105,7 +105,7 @@
 		client: upstream.NewClient(upstream.Config{Dial: h.target.dial}), metrics: newMetrics(), refused: newRefusedRequests(),
 		log: discardEventLog(), targetAddr: func() string { return "target" },
 		reservations: map[string]heldReservation{}, now: now, outboundCalls: &outboundCalls{now: now},
-		budget: newBudget(now, func() RetryPolicy { return RetryPolicy{1, 100} }, func() int { return 1 }, func() bool { return true }, 1),
+		budget: newBudget(now, func() RetryPolicy { return RetryPolicy{1, 100} }, func() int { return 1 }, newCallBudget(now, nil, &outboundCalls{now: now}, 1), 1),
 	}
 	h.announce()
 }
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -33,19 +33,22 @@
 	// wholePeriods makes a gray failure last for whole periods, each with the
 	// probability grayShare, and not for the first part of every period.
 	wholePeriods bool
-	failShare    float64 // fraction of its requests that such a target fails
-	grayService  string  // the only service with gray failures; all if empty
-	duration     time.Duration
-	burst        float64 // factor on the request rate in the middle third
-	cutShare     float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
-	seed         uint64
-	nodes        []*simNode
-	byAddr       map[string]*simNode
-	mu           sync.Mutex
-	rand         *rand.Rand
-	tally        map[string]*simTally
-	arrivals     map[string][]simArrival // by service
-	fleetNow     func() time.Duration
+	// together makes the gray failures begin and end with the middle third, at a
+	// fraction grayShare of the targets.
+	together    bool
+	failShare   float64 // fraction of its requests that such a target fails
+	grayService string  // the only service with gray failures; all if empty
+	duration    time.Duration
+	burst       float64 // factor on the request rate in the middle third
+	cutShare    float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
+	seed        uint64
+	nodes       []*simNode
+	byAddr      map[string]*simNode
+	mu          sync.Mutex
+	rand        *rand.Rand
+	tally       map[string]*simTally
+	arrivals    map[string][]simArrival // by service
+	fleetNow    func() time.Duration
 }
 
 // failureMode is how a target in gray failure fails.
@@ -72,7 +75,7 @@
 	runTime     time.Duration
 	spread      float64 // standard deviation of the logarithm of run times
 	calledClass string  // class of the nested calls that a fraction of its runs make
-	callShare   float64 // fraction of its runs that make a nested call
+	callShare   float64 // nested calls that one of its runs makes, on average
 }
 
 // simArrival is a request that arrives at a service, as a first attempt or a
@@ -144,6 +147,9 @@
 	if n.sim.grayService != "" && n.service.name != n.sim.grayService {
 		return false
 	}
+	if n.sim.together {
+		return n.sim.inMiddleThird() && n.phase < time.Duration(n.sim.grayShare*float64(n.sim.period))
+	}
 	if n.sim.wholePeriods {
 		period := uint64((now + n.phase) / n.sim.period)
 		return rand.New(rand.NewPCG(uint64(n.phase), period)).Float64() < n.sim.grayShare
@@ -250,7 +256,7 @@
 	}
 	n.view = placement.NewView(placement.DefaultConfig("", zone), sim.fleetNow, sim.seed+uint64(len(sim.nodes)))
 	n.outboundCalls = &outboundCalls{now: sim.fleetNow}
-	n.budget = newBudget(sim.fleetNow, sim.policy, func() int { return n.view.Count(s.name) }, n.calledServicesAdmit, uint64(len(sim.nodes)))
+	n.budget = newBudget(sim.fleetNow, sim.policy, func() int { return n.view.Count(s.name) }, newCallBudget(sim.fleetNow, n.view, n.outboundCalls, uint64(len(sim.nodes))), uint64(len(sim.nodes)))
 	logger := &eventLog{&log.Logger{Handler: discard.New(), Level: log.FatalLevel}}
 	n.dispatcher = &dispatcher{
 		zone: zone, view: n.view, remote: n, latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: logger, metrics: newMetrics(),
@@ -259,10 +265,6 @@
 	sim.byAddr[addr] = n
 }
 
-func (n *simNode) calledServicesAdmit() bool {
-	return servicesAdmitCalls(n.view, n.outboundCalls.calledServices())
-}
-
 func (sim *simulation) nodeCount() int {
 	n := 0
 	for _, s := range sim.hosts {
@@ -280,7 +282,7 @@
 
 func (n *simNode) status() admission.Status {
 	s := n.gate.Status()
-	s.AdmitsRetries, s.AdmitsRetryCalls = n.budget.available()
+	s.AdmitsRetries, s.RetryCalls = n.budget.available()
 	return s
 }
 
@@ -442,7 +444,7 @@
 	if isErrorResponse(resp) && s.host.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
-	s.host.outboundCalls.endRun(run, outcome == admission.Success)
+	s.host.outboundCalls.endRun(run, outcome)
 	s.reserved.Release(outcome)
 	if err != nil && wasGray {
 		s.from.sim.count(ctx, func(t *simTally) { t.lost++ })
@@ -496,11 +498,8 @@
 		return nil, outcomeOfError(ctx, ctx.Err()), resultOfError(ctx, ctx.Err())
 	}
 	failed := n.sim.float() < errorShare
-	if c.calledClass != "" && n.sim.float() < c.callShare {
-		inner := n.sim.class(c.calledClass)
-		callCtx, cancel := context.WithTimeout(ctx, inner.route.Timeout)
-		defer cancel()
-		failed = !n.request(callCtx, inner) || failed
+	for calls := c.callShare; calls > 0 && (calls >= 1 || n.sim.float() < calls); calls-- {
+		failed = !n.call(ctx, n.sim.class(c.calledClass)) || failed
 	}
 	status := http.StatusOK
 	if failed {
@@ -509,6 +508,13 @@
 	return &response{status: status, header: http.Header{}}, outcomeOfStatus(status), nil
 }
 
+// call makes a nested call and reports its success.
+func (n *simNode) call(ctx context.Context, c *simClass) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.route.Timeout)
+	defer cancel()
+	return n.request(ctx, c)
+}
+
 func (sim *simulation) class(name string) *simClass {
 	for i := range sim.classes {
 		if sim.classes[i].route.Name == name {
--- a/placement/view.go
+++ b/placement/view.go
@@ -258,10 +258,25 @@
 	return v.halfOfHostsAdmit(service, func(s *admission.Status) bool { return s.AdmitsRetries })
 }
 
-// AdmitsRetryCalls reports whether the run of a retry at another service may call
-// this one: at least half of this service's hosts would admit the call.
-func (v *View) AdmitsRetryCalls(service string) bool {
-	return v.halfOfHostsAdmit(service, func(s *admission.Status) bool { return s.AdmitsRetryCalls })
+// RetryCalls returns the number of calls in a window of the retry budget that
+// the retried runs of all other services together may make to the service, and
+// the number of hosts that have targets of other services. ok is false if no
+// host of the service is known.
+func (v *View) RetryCalls(service string) (calls float64, otherHosts int, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, h := range v.byService[service] {
+		if h.status.Phase == admission.Serving {
+			calls += h.status.RetryCalls
+			ok = true
+		}
+	}
+	for name, list := range v.byService {
+		if name != service {
+			otherHosts += len(list)
+		}
+	}
+	return calls, otherHosts, ok
 }
 
 // halfOfHostsAdmit reports whether at least half of the service's hosts with a
