mesh: let requests that were shed wait for retry budget

Change: such requests wait at their entry node. Only the first in line asks hosts; calls go first, then those that can still be in time, then the others by deadline. A request for which no budget will come in time is refused at once: the times at which the node's own retries leave the window tell when there will be some. Retries with proof that nothing ran may use 90% of the allowance (80% of orders' only before), which the status and the reservation state. The window counts retries for 10 to 11 s, not 9 to 10: spent at once, twice the allowance fitted into 10 s.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -72,6 +72,7 @@
 	Idempotent bool   // may run more than once, so it may serve as a trial request
 	NoRetry    bool   // idempotent, but could not be retried after a failure, so it is no trial request
 	Retry      bool   // a retry or hedge: an earlier attempt reached a target
+	NotRun     bool   // it is proven that no earlier attempt ran
 	// CalledByRetry is the probability that the request was made by a run of
 	// another request that was itself a retry or hedge.
 	CalledByRetry float64
@@ -102,6 +103,7 @@
 	Risk          float64       // probability that a request sent now fails because of a gray failure
 	Idle          time.Duration // time since the target got its newest request
 	AdmitsRetries bool          // a retry would be admitted
+	AdmitsResends bool          // a retry of a request that has not run would be admitted
 	// RetryCalls is the number of calls in a window of the retry budget that
 	// retried runs of other services may make to the target.
 	RetryCalls float64
--- a/limits/budget.go
+++ b/limits/budget.go
@@ -12,6 +12,9 @@
 	retryWindow  = 10 * time.Second // sliding window of the budget
 	retryBuckets = 10
 	retryBucket  = retryWindow / retryBuckets
+	// keptRetries is the number of buckets of retries. The newest one is not
+	// complete, so that one more is needed to cover a whole window at any time.
+	keptRetries = retryBuckets + 1
 )
 
 // RetryBudget limits the retries of one service at one node to a share of its
@@ -27,7 +30,7 @@
 	rounding float64 // random rounding term of the allowance, in [0, 1)
 	current  int64   // number of the newest bucket
 	requests [retryBuckets]int
-	retries  [retryBuckets]float64
+	retries  [keptRetries]float64
 	sumReq   int
 	sumRetry float64
 }
@@ -76,6 +79,19 @@
 	return b.remaining()
 }
 
+// RemainingAt returns the number of retries that the budget will permit at a
+// later time if no retry is made until then and requests go on as before.
+func (b *RetryBudget) RemainingAt(now, at time.Duration) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	remaining := b.remaining()
+	for i := range min(int64(at/retryBucket)-b.current, keptRetries) {
+		remaining += b.retries[(b.current+1+i)%keptRetries]
+	}
+	return remaining
+}
+
 // Allowance returns the number of retries that the current window permits in
 // total, including those already made.
 func (b *RetryBudget) Allowance(now time.Duration) float64 {
@@ -100,7 +116,7 @@
 }
 
 func (b *RetryBudget) spend(retries float64) {
-	b.retries[b.current%retryBuckets] += retries
+	b.retries[b.current%keptRetries] += retries
 	b.sumRetry += retries
 }
 
@@ -115,12 +131,11 @@
 // advance moves the window to now and clears the buckets that have left it.
 func (b *RetryBudget) advance(now time.Duration) {
 	n := int64(now / retryBucket)
-	steps := min(n-b.current, retryBuckets)
-	for i := int64(1); i <= steps; i++ {
-		k := (b.current + i) % retryBuckets
-		b.sumReq -= b.requests[k]
-		b.sumRetry -= b.retries[k]
-		b.requests[k], b.retries[k] = 0, 0
+	steps := min(n-b.current, keptRetries)
+	for i := n - steps + 1; i <= n; i++ {
+		b.sumReq -= b.requests[i%retryBuckets]
+		b.sumRetry -= b.retries[i%keptRetries]
+		b.requests[i%retryBuckets], b.retries[i%keptRetries] = 0, 0
 	}
 	if n <= b.current {
 		return
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -20,11 +20,11 @@
 	// grant. The rest covers requests that are counted in another window than
 	// their retries, and the random rounding of each host's allowance.
 	budgetShare = 0.6
-	// orderShare is the fraction up to which retries of non-idempotent requests
-	// may use the allowance. They are made only after proof that the request did
-	// not run, and without one it is refused; a retry or hedge of an idempotent
-	// request often only saves time.
-	orderShare = 0.8
+	// orderShare is the fraction up to which retries of requests that have not
+	// run may use the allowance, as all retries of non-idempotent requests do:
+	// without one they are refused. A retry or hedge of an idempotent request
+	// that may have run often only saves time.
+	orderShare = 0.9
 	// nestedCallShare is the fraction up to which retries and the calls that
 	// retried runs make may use the allowance together, and maxCallShare the
 	// fraction up to which such calls alone may. directShare is the fraction
@@ -106,18 +106,19 @@
 
 // admitRetry reports whether the allowance permits a retry, and counts it if so.
 func (b *budget) admitRetry(r admission.Request) bool {
-	if !b.hasRoom(r.Idempotent) || !b.calls.admit(runSource(r.Idempotent)) {
+	if !b.hasRoom(r.NotRun || !r.Idempotent) || !b.calls.admit(runSource(r.Idempotent)) {
 		return false
 	}
 	b.spend(1)
 	return true
 }
 
-// hasRoom reports whether the allowance permits a retry.
-func (b *budget) hasRoom(idempotent bool) bool {
+// hasRoom reports whether the allowance permits a retry. notRun tells that it
+// is proven that no earlier attempt ran.
+func (b *budget) hasRoom(notRun bool) bool {
 	now := b.now()
 	share := budgetShare
-	if !idempotent {
+	if notRun {
 		share = orderShare
 	}
 	return b.remaining(b.window, share, now) >= 1 || b.remaining(b.direct, directShare, now) >= 1 && b.remaining(b.window, mostShare, now) >= 1
@@ -134,18 +135,23 @@
 	return w.Remaining(now) + (share/budgetShare-1)*w.Allowance(now)
 }
 
-// available reports whether a retry of an idempotent request would be admitted,
-// and how many calls in a window retried runs of other services may make to the
-// target.
-func (b *budget) available() (retries bool, calls float64) {
+// describe sets the fields of the status that concern the budget.
+func (b *budget) describe(s *admission.Status) {
 	b.configure()
+	s.AdmitsRetries = b.hasRoom(false) && b.calls.admits(idempotentRuns)
+	s.AdmitsResends = b.hasRoom(true) && (b.calls.admits(idempotentRuns) || b.calls.admits(nonIdempotentRuns))
+	s.RetryCalls = b.retryCalls()
+}
+
+// retryCalls returns how many calls in a window retried runs of other services
+// may make to the target.
+func (b *budget) retryCalls() float64 {
 	now := b.now()
-	retries = b.hasRoom(true) && b.calls.admits(idempotentRuns)
 	if b.remaining(b.window, mostShare, now) < 0 {
-		return retries, 0
+		return 0
 	}
 	most := b.direct.Allowance(now) / budgetShare
-	return retries, max(0, min(maxCallShare*most, b.remaining(b.direct, nestedCallShare, now)))
+	return max(0, min(maxCallShare*most, b.remaining(b.direct, nestedCallShare, now)))
 }
 
 func (b *budget) configure() {
--- /dev/null
+++ b/mesh/budgetwait.go
@@ -0,0 +1,324 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"hyssopbridge/limits"
+)
+
+// budgetQueues orders the requests of an entry node that wait for the retry
+// budget of a service, because a target shed them or failed and the hosts admit
+// no retry at present. Only the first one asks hosts; a request for which no
+// budget will come in time is refused at once.
+type budgetQueues struct {
+	now    func() time.Duration
+	policy func() RetryPolicy
+	nodes  func() int // number of nodes that share the budgets
+	seed   uint64     // a different one on each node
+
+	mu        sync.Mutex
+	stopped   bool
+	byService map[string]*budgetQueue
+}
+
+type budgetQueue struct {
+	window *limits.RetryBudget // requests and retries of this node
+	// usedByOthers is how many retries the window permitted when hosts last
+	// admitted none: other nodes have made them.
+	usedByOthers float64
+	waiters      []*budgetWaiter // in the order in which they keep their places
+	first        *budgetWaiter   // the one that may ask hosts
+}
+
+// budgetWaiter is a request that waits for retry budget.
+type budgetWaiter struct {
+	queue    *budgetQueue
+	nested   bool          // a call of a run, which is lost without a response
+	priority int           // 0 is the most urgent
+	inTime   time.Duration // a retry that starts later probably ends after the objective
+	until    time.Duration // a retry that starts later probably ends after the deadline
+	turn     chan struct{} // closed while the request is the first
+	dropped  chan struct{} // closed when budget will no longer come in time
+}
+
+// budgetWindow is the window of the retry budgets.
+const budgetWindow = 10 * time.Second
+
+const (
+	// budgetPollShare is the pause between the questions of the first waiting
+	// request as a fraction of the mean time until this node gets budget, and
+	// maxBudgetPoll its upper limit.
+	budgetPollShare = 0.25
+	maxBudgetPoll   = 250 * time.Millisecond
+)
+
+func newBudgetQueues(now func() time.Duration, policy func() RetryPolicy, nodes func() int, seed uint64) *budgetQueues {
+	return &budgetQueues{now: now, policy: policy, nodes: nodes, seed: seed, byService: map[string]*budgetQueue{}}
+}
+
+// recordRequest counts a request of this node for the service.
+func (b *budgetQueues) recordRequest(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue(service).window.RecordRequest(b.now())
+}
+
+// recordRetry counts a retry of this node.
+func (b *budgetQueues) recordRetry(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := b.queue(service)
+	q.window.Spend(b.now(), 1)
+	q.usedByOthers = max(0, q.usedByOthers-1)
+}
+
+// recordNone records that hosts admit no retry at present.
+func (b *budgetQueues) recordNone(w *budgetWaiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configure(w.queue)
+	w.queue.usedByOthers = max(0, w.queue.window.Remaining(b.now()))
+}
+
+// waiting reports whether requests wait for budget of the service.
+func (b *budgetQueues) waiting(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queue(service).waiters) > 0
+}
+
+// enter adds a request to the queue. It returns the number of requests that
+// keep their places before it. ok is false if no budget is expected in time. Less
+// urgent requests for which that is no longer so are dropped.
+func (b *budgetQueues) enter(service string, w *budgetWaiter) (ahead int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q, now := b.queue(service), b.now()
+	w.queue, w.turn, w.dropped = q, make(chan struct{}), make(chan struct{})
+	ahead, _ = slices.BinarySearchFunc(q.waiters, w, func(x, w *budgetWaiter) int {
+		if w.keepsPlaceBefore(x) {
+			return 1
+		}
+		return -1
+	})
+	q.waiters = slices.Insert(q.waiters, ahead, w)
+	b.configure(q)
+	kept := q.waiters[:0]
+	for _, x := range q.waiters {
+		if !b.stopped && x.until > now && float64(len(kept)+1) <= q.retriesUntil(x.until, now) {
+			kept = append(kept, x)
+			continue
+		}
+		close(x.dropped)
+	}
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
+	q.chooseFirst(now)
+	return ahead, slices.Contains(kept, w)
+}
+
+// stop drops all requests, since their connections are about to be closed, and
+// those that come later.
+func (b *budgetQueues) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	for _, q := range b.byService {
+		for _, w := range q.waiters {
+			close(w.dropped)
+		}
+		q.waiters = nil
+	}
+}
+
+// leave removes a request from the queue.
+func (b *budgetQueues) leave(w *budgetWaiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(w.queue.waiters, w); i >= 0 {
+		w.queue.waiters = slices.Delete(w.queue.waiters, i, i+1)
+		w.queue.chooseFirst(b.now())
+	}
+}
+
+// turn returns a channel that is closed when the request is the first.
+func (b *budgetQueues) turn(w *budgetWaiter) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.queue.chooseFirst(b.now())
+	return w.turn
+}
+
+// poll returns how long the first request waits between its questions.
+func (b *budgetQueues) poll(w *budgetWaiter) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configure(w.queue)
+	allowance := w.queue.window.Allowance(b.now())
+	if allowance <= 0 {
+		return maxBudgetPoll
+	}
+	return min(max(seconds(budgetPollShare*budgetWindow.Seconds()/allowance), roundPause), maxBudgetPoll)
+}
+
+// keepsPlaceBefore reports whether the request keeps its place in the queue
+// rather than another one, if there is not enough budget for both.
+func (w *budgetWaiter) keepsPlaceBefore(x *budgetWaiter) bool {
+	if w.nested != x.nested {
+		return w.nested
+	}
+	return w.priority < x.priority
+}
+
+// before reports whether the request asks for budget before another one. Requests
+// that can still be in time go first, the newest of them before others: when
+// budget is short, the opposite order sends each when it is nearly too late.
+// Those that are late follow in the order of their deadlines.
+func (w *budgetWaiter) before(x *budgetWaiter, now time.Duration) bool {
+	inTime := now < w.inTime
+	switch {
+	case w.nested != x.nested:
+		return w.nested
+	case inTime != (now < x.inTime):
+		return inTime
+	case w.priority != x.priority:
+		return w.priority < x.priority
+	case inTime:
+		return w.inTime > x.inTime
+	}
+	return w.until < x.until
+}
+
+// chooseFirst gives the turn to the most urgent request.
+func (q *budgetQueue) chooseFirst(now time.Duration) {
+	var first *budgetWaiter
+	for _, w := range q.waiters {
+		if first == nil || w.before(first, now) {
+			first = w
+		}
+	}
+	if first == q.first {
+		return
+	}
+	if q.first != nil {
+		q.first.turn = make(chan struct{})
+	}
+	if q.first = first; first != nil {
+		close(first.turn)
+	}
+}
+
+// retriesUntil returns the number of retries that this node can probably make
+// until a time: what the window will permit then, and the whole allowance again
+// for each further window.
+func (q *budgetQueue) retriesUntil(until, now time.Duration) float64 {
+	windows := max(0, (until-now).Seconds()/budgetWindow.Seconds()-1)
+	return q.window.RemainingAt(now, until) + windows*q.window.Allowance(now) - q.usedByOthers
+}
+
+// configure sets the part of the allowance that this node probably gets: by its
+// requests, and equal parts of the slack.
+func (b *budgetQueues) configure(q *budgetQueue) {
+	p := b.policy()
+	q.window.Configure(orderShare*p.Ratio, orderShare*p.Slack/float64(max(1, b.nodes())))
+}
+
+func (b *budgetQueues) queue(service string) *budgetQueue {
+	q := b.byService[service]
+	if q == nil {
+		q = &budgetQueue{window: limits.NewRetryBudget(b.seed + uint64(len(b.byService)))}
+		b.byService[service] = q
+	}
+	return q
+}
+
+const (
+	metricBudgetWaits = "mesh_budget_waits_total."
+
+	budgetWaitSent    = "sent"    // the request got a slot
+	budgetWaitRefused = "refused" // no budget was expected in time
+	budgetWaitDropped = "dropped" // more urgent requests came, or the node stops
+	budgetWaitExpired = "expired" // its time was over, or the caller left
+)
+
+// mayAwaitBudget reports whether the request may wait for retry budget: it is no
+// hedge, and its next attempt is a retry.
+func (c *call) mayAwaitBudget() bool {
+	return c.delivered > 0 && !c.hedge && c.left() > minSendTime
+}
+
+// awaitBudget waits until a host admits the retry of the request.
+func (c *call) awaitBudget() (reservedTarget, bool) {
+	queues := c.d.budgetQueues
+	now, runTime := queues.now(), c.d.latencies.expected(c.route)
+	w := &budgetWaiter{
+		nested: c.q.fromRunProb > likelyNested, priority: c.q.priority(c.route),
+		inTime: now + c.route.Objective - time.Since(c.start) - runTime,
+		until:  now + c.left() - max(minSendTime, runTime),
+	}
+	ahead, ok := queues.enter(c.service, w)
+	t, end := reservedTarget{}, budgetWaitRefused
+	if ok {
+		t, end = c.awaitTurn(w)
+		queues.leave(w)
+	}
+	c.d.metrics.count(metricBudgetWaits + end)
+	c.d.log.waitedForBudget(c.q.id, c.service, end, queues.now()-now, ahead, c.left())
+	return t, end == budgetWaitSent
+}
+
+// awaitTurn asks hosts whenever the request is the first. It returns how the
+// wait ended.
+func (c *call) awaitTurn(w *budgetWaiter) (t reservedTarget, end string) {
+	queues := c.d.budgetQueues
+	ctx, cancel := context.WithTimeout(c.ctx, w.until-queues.now())
+	defer cancel()
+	for {
+		select {
+		case <-queues.turn(w):
+		case <-w.dropped:
+			return t, budgetWaitDropped
+		case <-ctx.Done():
+			return t, budgetWaitExpired
+		}
+		if t, ok := c.reserveWithBudget(); ok {
+			return t, budgetWaitSent
+		}
+		if len(c.outOfBudget) > 0 || !c.d.view.AdmitsRetries(c.service) {
+			queues.recordNone(w)
+		}
+		sleepUntilDone(ctx, queues.poll(w))
+	}
+}
+
+// reserveWithBudget asks hosts that state that they admit retries, also in other
+// zones: the budget of a zone that gets more than its part is spent first.
+func (c *call) reserveWithBudget() (reservedTarget, bool) {
+	c.outOfBudget = nil
+	asked := 0
+	for _, cand := range c.rankedHosts(1) {
+		if cand.LastResort || !cand.AdmitsRetry || cand.RecentlyRefused {
+			continue
+		}
+		if asked == maxHostsPerRound || c.ctx.Err() != nil {
+			break
+		}
+		asked++
+		if t, _, ok := c.reserve(cand, c.reservationRequest(cand, 1)); ok {
+			return t, true
+		}
+	}
+	return reservedTarget{}, false
+}
+
+func sleepUntilDone(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -13,15 +13,16 @@
 
 // dispatcher finds a target for each request and retries where that is safe.
 type dispatcher struct {
-	localAddr   string
-	zone        string
-	view        *placement.View
-	local       *hostNode
-	remote      reserver
-	latencies   *latencies
-	hedgeDelays *hedgeDelays
-	log         *eventLog
-	metrics     *metrics
+	localAddr    string
+	zone         string
+	view         *placement.View
+	local        *hostNode
+	remote       reserver
+	latencies    *latencies
+	hedgeDelays  *hedgeDelays
+	budgetQueues *budgetQueues
+	log          *eventLog
+	metrics      *metrics
 }
 
 // reserver reserves slots at other nodes. The error is a refusal if the host
@@ -57,6 +58,7 @@
 
 // serve returns the response of a target. The error is a *resultcode.Error.
 func (d *dispatcher) serve(ctx context.Context, q *request, route *dynamic.Route, service string, start time.Time) (*response, error) {
+	d.budgetQueues.recordRequest(service)
 	c := &call{d: d, ctx: ctx, q: q, route: route, service: service, start: start, retryRounds: defaultRetryRounds}
 	var last *resultcode.Error
 	for {
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -42,6 +42,13 @@
 	}).Info("request not sent again")
 }
 
+// waitedForBudget logs how a wait for retry budget ended.
+func (l *eventLog) waitedForBudget(id, service, end string, waited time.Duration, ahead int, left time.Duration) {
+	l.log.WithFields(log.Fields{
+		"request": id, "service": service, "budget_wait": end, "waited_ms": waited.Milliseconds(), "ahead": ahead, "left_ms": left.Milliseconds(),
+	}).Info("request waited for retry budget")
+}
+
 // hedged logs that a request was sent to a second target because its first
 // attempt is overdue.
 func (l *eventLog) hedged(id, addr, target string, elapsed, left time.Duration) {
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -52,7 +52,7 @@
 // status returns the status that is sent to other nodes.
 func (h *hostNode) status() admission.Status {
 	s := h.gate.Status()
-	s.AdmitsRetries, s.RetryCalls = h.budget.available()
+	h.budget.describe(&s)
 	return s
 }
 
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -22,6 +22,7 @@
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
 	m.count(metricForeignAnswers)
+	m.count(metricBudgetWaits + budgetWaitSent)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -103,15 +103,17 @@
 	n.targetClient = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
 	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
 	calls := &outboundCalls{now: n.now}
+	policy := func() RetryPolicy { return *n.retryPolicy.Load() }
 	n.hostNode = &hostNode{
 		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
-		now: n.now, outboundCalls: calls, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
+		now: n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
 	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, onStatus: n.statusReceived}
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
+		budgetQueues: newBudgetQueues(n.now, policy, n.view.Nodes, n.cfg.Seed),
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
@@ -304,6 +306,7 @@
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
+	n.entryNode.dispatcher.budgetQueues.stop()
 	err := errors.Join(n.callerServer.shutdown(ctx), n.nodeServer.shutdown(ctx))
 	n.cancel()
 	return err
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -57,6 +57,9 @@
 // request since the last attempt. A request whose attempt took long still gets
 // c.retryRounds rounds.
 func (c *call) reserveTarget() (reservedTarget, error) {
+	if c.mayAwaitBudget() && c.d.budgetQueues.waiting(c.service) {
+		return c.awaitedTarget()
+	}
 	for round := 0; ; round++ {
 		t, reason, ok := c.tryRound(round)
 		if ok {
@@ -65,6 +68,9 @@
 		if err := c.ctx.Err(); err != nil {
 			return reservedTarget{}, c.endedError()
 		}
+		if reason == admission.NoBudget && round+1 >= c.retryRounds && c.mayAwaitBudget() {
+			return c.awaitedTarget()
+		}
 		if c.left() <= minSendTime || (c.hasWaited() && (c.delivered == 0 || round+1 >= c.retryRounds)) {
 			if t, ok := c.reserveEjected(); ok {
 				return t, nil
@@ -83,6 +89,17 @@
 	}
 }
 
+// awaitedTarget reserves a slot for a retry when there is budget for it.
+func (c *call) awaitedTarget() (reservedTarget, error) {
+	if t, ok := c.awaitBudget(); ok {
+		return t, nil
+	}
+	if c.ctx.Err() != nil {
+		return reservedTarget{}, c.endedError()
+	}
+	return reservedTarget{}, noTargetError("no retry budget in time", admission.NoBudget)
+}
+
 func noTargetError(what string, reason admission.Reason) *resultcode.Error {
 	if reason == admission.NoBudget {
 		return notRun(resultcode.RetryBudgetSpent, "%s: %s", what, reason)
@@ -112,6 +129,9 @@
 	return min(max(objective-runsLeftAfterWait*runTime, least), most)
 }
 
+// hasNotRun reports whether it is proven that no target has run the request.
+func (c *call) hasNotRun() bool { return len(c.tried) == 0 }
+
 func (c *call) endedError() error {
 	if errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
 		return notRun(resultcode.DeadlineTooShort, "deadline passed before a target accepted the request")
@@ -192,7 +212,7 @@
 // rankedHosts returns all host nodes of the service, best first for a round.
 func (c *call) rankedHosts(round int) []placement.Candidate {
 	return c.d.view.Rank(placement.Request{
-		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, MaxRisk: c.maxRisk(round),
+		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, NotRun: c.hasNotRun(), MaxRisk: c.maxRisk(round),
 		Download: c.route.Download, Tried: append(slices.Clone(c.tried), c.outOfBudget...),
 	})
 }
@@ -241,7 +261,7 @@
 	r := admission.Request{
 		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
-		Retry: c.delivered > 0, CalledByRetry: c.q.fromRetryProb,
+		Retry: c.delivered > 0, NotRun: c.hasNotRun(), CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
 	}
 	if round > 1 && cand.RecentlyRefused {
@@ -282,6 +302,14 @@
 }
 
 func (c *call) reserve(cand placement.Candidate, req admission.Request) (reservedTarget, admission.Reason, bool) {
+	t, reason, ok := c.reserveAt(cand, req)
+	if ok && req.Retry {
+		c.d.budgetQueues.recordRetry(c.service)
+	}
+	return t, reason, ok
+}
+
+func (c *call) reserveAt(cand placement.Candidate, req admission.Request) (reservedTarget, admission.Reason, bool) {
 	if cand.Addr == c.d.localAddr {
 		reserved, reason := c.d.local.reserve(c.ctx, req)
 		if reserved == nil {
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -14,6 +14,7 @@
 	NoRetry    bool     // idempotent, but could not be retried after a failure, so it is no trial request
 	Download   bool     // the response is large, so traffic between availability zones matters
 	Retry      bool     // an earlier attempt reached a target
+	NotRun     bool     // it is proven that no earlier attempt ran
 	MaxRisk    float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
 	Tried      []string // addresses of the hosts that are excluded
 	testIdle   bool     // many targets are idle, so non-idempotent requests test them too
@@ -27,6 +28,7 @@
 	RecentlyRefused bool   // it refused a request within the refusal hold, or its status shows that it would
 	InBackoff       bool   // it was unreachable, and the backoff has not ended
 	OtherZone       bool   // in another availability zone
+	AdmitsRetry     bool   // its status shows that it would admit a retry of the request
 	score           float64
 }
 
@@ -162,7 +164,7 @@
 	age := now - h.statusAt
 	slots := max(1, s.Slots)
 	load := float64(max(s.Running+s.Waiting, h.inFlight)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone}
+	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.NotRun && s.AdmitsResends}
 	c.score = load + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
@@ -200,7 +202,7 @@
 	if c.RecentlyRefused {
 		c.score += refusedPenalty
 	}
-	if r.Retry && !s.AdmitsRetries {
+	if r.Retry && !c.AdmitsRetry {
 		c.score += noRetryPenalty
 	}
 	if now-h.lastHeard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
--- a/placement/view.go
+++ b/placement/view.go
@@ -226,6 +226,13 @@
 	}
 }
 
+// Nodes returns the number of nodes that are known.
+func (v *View) Nodes() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.hosts)
+}
+
 // Count returns the number of hosts that are known to serve the service.
 func (v *View) Count(service string) int {
 	v.mu.Lock()
