--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -25,6 +25,7 @@
 	m.count(metricMemoryRevoked)
 	m.count(metricMemoryRefused)
 	m.count(metricConnLimit + ".callers_closed")
+	m.count(metricBudgetWaits + budgetWaitSent)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -117,15 +117,18 @@
 		n.targetClient.CloseIdle(true)
 		between.CloseIdle(true)
 	}
+	calls := &outboundCalls{now: n.now}
+	policy := func() RetryPolicy { return *n.retryPolicy.Load() }
 	n.hostNode = &hostNode{
 		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), resources: n.resources, log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
-		now: n.now, outboundCalls: &outboundCalls{now: n.now}, budget: newBudget(n.now, func() RetryPolicy { return *n.retryPolicy.Load() }, n.serviceHosts, n.calledServicesAdmit, n.cfg.Seed),
+		now: n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
 	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, onStatus: n.statusReceived}
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
+		budgetQueues: newBudgetQueues(n.now, policy, n.view.Nodes, n.cfg.Seed),
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
@@ -277,12 +280,6 @@
 // serviceHosts returns the number of hosts of this node's service.
 func (n *Node) serviceHosts() int { return n.view.Count(*n.service.Load()) }
 
-// calledServicesAdmit reports whether the services that the target beside this
-// node calls would admit the calls of a retried run.
-func (n *Node) calledServicesAdmit() bool {
-	return servicesAdmitCalls(n.view, n.hostNode.outboundCalls.calledServices())
-}
-
 // SetRetryPolicy replaces the bounds on retries.
 func (n *Node) SetRetryPolicy(p RetryPolicy) { n.retryPolicy.Store(&p) }
 
@@ -325,6 +322,7 @@
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
+	n.entryNode.dispatcher.budgetQueues.stop()
 	err := errors.Join(n.callerServer.shutdown(ctx), n.nodeServer.shutdown(ctx))
 	n.cancel()
 	return err
