--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -93,8 +93,8 @@
 	maxNodes int // largest number of nodes known so far
 	notify   chan scope
 	standbys map[netip.AddrPort]bool // nodes that take over if this node reads the configuration and is lost
-	// readerReplaced is when a reader of the own zone was last replaced by a
-	// process that does not read, and readerChanged receives a value then.
+	// readerReplaced is when a reader of the own zone last gave up or was replaced
+	// by a process that does not read, and readerChanged receives a value then.
 	readerReplaced time.Duration
 	readerChanged  chan struct{}
 }
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -74,10 +74,11 @@
 	return standbys
 }
 
-// noteReplacedReader notes that a reader of the own zone has been replaced by a
-// process that does not read.
+// noteReplacedReader notes that a reader of the own zone has given up, as one
+// does that cannot reach the source, or has been replaced by a process that does
+// not read.
 func (p *peers) noteReplacedReader(q *peer, msg heartbeat) {
-	if !isReaderOf(q, p.identity().Zone) || msg.Flags&flagConfigReader != 0 || msg.Started == q.last.Started {
+	if !isReaderOf(q, p.identity().Zone) || msg.Flags&flagConfigReader != 0 {
 		return
 	}
 	p.readerReplaced = p.now()
@@ -88,7 +89,8 @@
 }
 
 // lostConfigReader returns the latest loss of a reader of the own zone: for how
-// long the reader has been silent, or since when it is replaced. ok is false if
+// long the reader has been silent, or since when it has given up or been
+// replaced. ok is false if
 // none was lost recently.
 func (p *peers) lostConfigReader() (since time.Duration, ok bool) {
 	p.mu.Lock()
--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// Guards against a zone that waits longer than after the loss of a reader when
+// its reader says that it no longer reads.
+func TestReaderThatGivesUpIsMissed(t *testing.T) {
+	clock := time.Minute
+	n := New(Config{Zone: "z", NodeAddr: "127.0.0.2:1", GossipAddr: "127.0.0.2:2", Clock: func() time.Duration { return clock }})
+	clock += time.Second
+	q := addReader(n, "127.0.0.1:1", flagStandby)
+	msg := q.last
+	msg.Flags = 0
+	n.peers.noteReplacedReader(q, msg)
+	q.last = msg
+	if _, lost := n.LostConfigReader(); !lost {
+		t.Error("the reader that gave up is not missed")
+	}
+	select {
+	case <-n.peers.readerChanged:
+	default:
+		t.Error("a standby is not woken when the reader gives up")
+	}
+}
+
 // Guards against a reader whose zone notices its loss late because no node gets
 // its frequent heartbeats, or all nodes of a large zone get them.
 func TestStandbysOfReader(t *testing.T) {
