--- a/mesh/notrun_test.go
+++ b/mesh/notrun_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -334,3 +335,102 @@
 	}
 	testutil.Eventually(t, "the slot is free", func() bool { return n.gate.Status().Running == 0 })
 }
+
+// testOrder returns an order with the given time left.
+func testOrder(n *Node, left time.Duration) *request {
+	return &request{
+		id: "x", method: http.MethodPost, host: "h.example", url: &url.URL{Path: "/order/1"}, header: http.Header{},
+		body: []byte("payload"), deadline: deadlineIn(left, n.now),
+	}
+}
+
+// Guards against places that state that an order was not run although it was
+// sent, or that leave that open although it was not.
+func TestNotRunBeforeSend(t *testing.T) {
+	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
+	reserve := func(t *testing.T, n *Node) *admission.Reservation {
+		reserved, reason := n.hostNode.reserve(t.Context(), req)
+		if reserved == nil {
+			t.Fatal(reason)
+		}
+		return reserved
+	}
+	// hop sends the head and a part of the body of a request under a reservation,
+	// and closes the connection's sending side.
+	hop := func(t *testing.T, n *Node, id, left string) string {
+		c, err := net.Dial("tcp4", n.cfg.NodeAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: 100\r\n\r\npart", headerReservation, id, headerTimeLeft, left)
+		_ = c.(*net.TCPConn).CloseWrite()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.Header.Get(headerRan)
+	}
+	for name, ran := range map[string]func(t *testing.T, n *Node) string{
+		"hop after the deadline": func(t *testing.T, n *Node) string {
+			_, err := (&remoteReservation{n.remote, n.cfg.NodeAddr, n.hostNode.store(reserve(t, n), req)}).run(t.Context(), testOrder(n, 0))
+			return asResultError(err).Ran.String()
+		},
+		"run after the deadline": func(t *testing.T, n *Node) string {
+			_, err := n.hostNode.run(t.Context(), reserve(t, n), req, testOrder(n, 0))
+			return err.Ran.String()
+		},
+		"run after the reservation was given up": func(t *testing.T, n *Node) string {
+			reserved := reserve(t, n)
+			reserved.Release(admission.Neutral)
+			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
+			return err.Ran.String()
+		},
+		"run after the target began to drain": func(t *testing.T, n *Node) string {
+			reserved := reserve(t, n)
+			n.gate.Stop()
+			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
+			return err.Ran.String()
+		},
+		"unknown reservation": func(t *testing.T, n *Node) string { return hop(t, n, "unknown", "1000") },
+		"no time left":        func(t *testing.T, n *Node) string { return hop(t, n, n.hostNode.store(reserve(t, n), req), "0") },
+		"body cut on the hop": func(t *testing.T, n *Node) string {
+			return hop(t, n, n.hostNode.store(reserve(t, n), req), "1000")
+		},
+		"target does not listen": func(t *testing.T, n *Node) string {
+			n.SetTarget(admission.Target{ID: "t", Service: testService, Slots: 4, Phase: admission.Serving}, testutil.FreeAddr(t), false)
+			_, err := n.hostNode.run(t.Context(), reserve(t, n), req, testOrder(n, time.Second))
+			return err.Ran.String()
+		},
+		"body cut at the entry node": func(t *testing.T, n *Node) string {
+			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprint(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\nContent-Length: 100\r\n\r\npart")
+			_ = c.(*net.TCPConn).CloseWrite()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("status %d, want 408", resp.StatusCode)
+			}
+			return resp.Header.Get(headerRan)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startTarget(t, "t")
+			n := startNode(t, g)
+			_ = n.SetConfig([]byte("1"), "test")
+			if got := ran(t, n); got != resultcode.RanNo.String() {
+				t.Errorf("ran %q, want %q", got, resultcode.RanNo)
+			}
+			time.Sleep(20 * time.Millisecond) // for a request that is on its way
+			if k := g.runCount("x"); k > 0 {
+				t.Errorf("the order ran %d times", k)
+			}
+		})
+	}
+}
