--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -20,7 +20,7 @@
 
 // FreeAddr returns an IP:port that is free for TCP and UDP. It returns each
 // address at most once per process.
-func FreeAddr(t *testing.T) string {
+func FreeAddr(t testing.TB) string {
 	t.Helper()
 	for {
 		l, err := net.Listen("tcp4", net.JoinHostPort(loopback, "0"))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,6 +16,7 @@
 const maxInformational = 8
 
 var (
+	errStatus        = errors.New("status code is below 100")
 	errSwitching     = errors.New("server switched protocols")
 	errInformational = errors.New("too many 1xx responses")
 	errAborted       = errors.New("exchange ended before the request body was sent")
@@ -199,6 +200,8 @@
 		}
 		x.conn.header.unlimit()
 		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return nil, errStatus
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitching
 		case resp.StatusCode >= 200:
