Callers' stalled bodies say nothing about a target; bound response headers

A response header could hold 1 MiB for each request that a target has taken. The wrapped connection hid CloseWrite from net/http, which then reset connections after an early answer.

Change: while the caller owes the rest of the body, a failed exchange is neutral, and a streamed request is never overdue. A response header may have 128 KiB. limits.GuardedConn has CloseWrite.

Result: TestStalledCallerIsNoEvidence fails without the change and passes with it.

--- a/limits/connguard.go
+++ b/limits/connguard.go
@@ -236,6 +236,15 @@
 // being read ends and may be answered.
 func (c *GuardedConn) CutReads() { _ = c.SetReadDeadline(past) } // fails if the connection is closed
 
+// CloseWrite closes the sending side. net/http calls it before it closes a
+// connection with unread bytes, so that the response is not lost to a reset.
+func (c *GuardedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *GuardedConn) Close() error {
 	c.once.Do(func() {
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -56,7 +56,11 @@
 	}
 	httpResp, err := x.client.Do(ctx, x.addr, out, opt)
 	if err != nil {
-		return nil, outcomeOfError(ctx, err), resultOfError(ctx, err)
+		outcome := outcomeOfError(ctx, err)
+		if q.rest.awaited() {
+			outcome = admission.Neutral
+		}
+		return nil, outcome, resultOfError(ctx, err)
 	}
 	if e := x.refusalError(httpResp); e != nil {
 		httpResp.Body.Close()
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -246,7 +246,10 @@
 		return nil, notRun(resultcode.DeadlineTooShort, "no time left before the deadline")
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(left)) // the body is read without a bound if this fails
+	hasBody := r.Body != nil && r.Body != http.NoBody
+	if hasBody {
+		_ = control.SetReadDeadline(time.Now().Add(left)) // the bound of unread bodies applies if this fails
+	}
 	monitor(r, account, h.now)
 	q, err := readRequest(r, r.Header.Get(h.headers.RequestID), account)
 	if isMemoryLimit(err) || err != nil && account.Revoked() {
@@ -257,7 +260,7 @@
 		held.reservation.Release(admission.Neutral)
 		return nil, notRun(resultcode.CallerGone, "read the request body: %w", err)
 	}
-	if q.rest == nil {
+	if hasBody && q.rest == nil {
 		_ = control.SetReadDeadline(time.Time{}) // the connection is closed if this fails
 	}
 	q.deadline = deadlineIn(left, h.now)
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -240,6 +240,28 @@
 	}
 }
 
+// bodyRest is the remainder of a request body, which is read while it is sent.
+type bodyRest struct {
+	r       io.Reader
+	reading atomic.Bool // a read has begun and not ended
+	failed  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *bodyRest) Read(p []byte) (int, error) {
+	b.reading.Store(true)
+	n, err := b.r.Read(p)
+	b.reading.Store(false)
+	if err != nil && err != io.EOF {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// awaited reports whether the sender of the body owes the rest of it, so that
+// the failure of an exchange says nothing about the target.
+func (b *bodyRest) awaited() bool { return b != nil && (b.failed.Load() || b.reading.Load()) }
+
 // onDone is a reader that calls done when r has ended.
 type onDone struct {
 	r    io.Reader
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -78,7 +78,7 @@
 	host, entry := startNode(t, g), startNode(t, nil)
 	connectNodes(t, host, entry)
 	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1 2000"), "test")
+		_ = n.SetConfig([]byte("1 600"), "test")
 	}
 	markTested(t, host, "first")
 	large := strings.Repeat("b", 300<<10)
@@ -178,3 +178,28 @@
 	close(finish)
 	wantResponse(t, <-first, http.StatusOK, "")
 }
+
+// Guards against callers that stop in the middle of a streamed body and so make a
+// sound target count as stalled or broken.
+func TestStalledCallerIsNoEvidence(t *testing.T) {
+	g := startTarget(t, "t")
+	host, entry := startNode(t, g), startNode(t, nil)
+	connectNodes(t, host, entry)
+	for _, n := range []*Node{host, entry} {
+		_ = n.SetConfig([]byte("1 1000"), "test")
+	}
+	markTested(t, host, "first")
+	for i, n := range []*Node{host, entry, host, entry} {
+		c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: stalled%d\r\nContent-Length: %d\r\n\r\n%s", i, longBody, strings.Repeat("z", 2*maxBuffered))
+		_, _ = io.ReadAll(c) // until the node gives the request up
+	}
+	if s := host.gate.Status(); s.Ejected || s.Risk > 0.3 || s.Running != 0 {
+		t.Errorf("ejected %v, risk %.3f, %d running after bodies that stopped", s.Ejected, s.Risk, s.Running)
+	}
+	wantResponse(t, sendOrder(t, entry, "ordinary", 10), http.StatusOK, "")
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -28,7 +28,7 @@
 	url        *url.URL
 	header     http.Header // end-to-end fields
 	body       []byte
-	rest       io.Reader // remainder after body; nil if body is complete
+	rest       *bodyRest // remainder after body; nil if body is complete
 	restLen    int64     // length of rest; -1 if unknown
 	account    *limits.MemoryAccount
 	idempotent bool
@@ -85,7 +85,7 @@
 	if err := account.Take(streamBytes); err != nil {
 		return nil, err
 	}
-	req.rest, req.restLen = r.Body, restLength(r.ContentLength, len(body))
+	req.rest, req.restLen = &bodyRest{r: r.Body}, restLength(r.ContentLength, len(body))
 	return req, nil
 }
 
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -244,6 +244,9 @@
 		Retry: c.delivered > 0, CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
 	}
+	if c.q.rest != nil {
+		r.OverdueAfter = 0 // the run lasts at least as long as the caller sends
+	}
 	if round > 1 && cand.RecentlyRefused {
 		r.MaxWait = min(max(c.waitLeft(), minQueueWait), c.left()/2)
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,7 +14,9 @@
 const (
 	bufferBytes = 16 << 10
 	// maxHeaderBytes bounds the status line and header section of a response.
-	maxHeaderBytes = 1 << 20
+	// A node may wait for as many responses as its target has slots and places in
+	// its queue, and holds up to this much of each.
+	maxHeaderBytes = 128 << 10
 )
 
 // errHeaderTooLarge is returned if a response header exceeds maxHeaderBytes.
