--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -18,12 +18,14 @@
 // Resources is what the process may use. Zero values stand for defaults.
 type Resources struct {
 	MemoryBytes int64 // default 256 MiB
-	Sockets     int   // open sockets; default 3,900
+	Sockets     int   // open sockets; default DefaultSockets
 }
 
+// DefaultSockets is how many sockets a process may open if that is not set.
+const DefaultSockets = 3900
+
 const (
 	defaultMemoryBytes = 256 << 20
-	defaultSockets     = 3900
 
 	// bodyShare is the fraction of the memory that bodies may hold. The rest is for
 	// connections, the state of the fleet and garbage that is not yet collected.
@@ -66,7 +68,7 @@
 		r.MemoryBytes = defaultMemoryBytes
 	}
 	if r.Sockets <= 0 {
-		r.Sockets = defaultSockets
+		r.Sockets = DefaultSockets
 	}
 	return r
 }
