--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -18,12 +18,14 @@
 // Resources is what the process may use. Zero values stand for defaults.
 type Resources struct {
 	MemoryBytes int64 // default 256 MiB
-	Sockets     int   // open sockets; default 3,900
+	Sockets     int   // open sockets; default DefaultSockets
 }
 
+// DefaultSockets is how many sockets a process may open if that is not set.
+const DefaultSockets = 3900
+
 const (
 	defaultMemoryBytes = 256 << 20
-	defaultSockets     = 3900
 
 	// bodyShare is the fraction of the memory that bodies may hold. The rest is for
 	// connections, the state of the fleet and garbage that is not yet collected.
@@ -66,7 +68,7 @@
 		r.MemoryBytes = defaultMemoryBytes
 	}
 	if r.Sockets <= 0 {
-		r.Sockets = defaultSockets
+		r.Sockets = DefaultSockets
 	}
 	return r
 }
@@ -240,6 +242,28 @@
 	}
 }
 
+// bodyRest is the remainder of a request body, which is read while it is sent.
+type bodyRest struct {
+	r       io.Reader
+	reading atomic.Bool // a read has begun and not ended
+	failed  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *bodyRest) Read(p []byte) (int, error) {
+	b.reading.Store(true)
+	n, err := b.r.Read(p)
+	b.reading.Store(false)
+	if err != nil && err != io.EOF {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// awaited reports whether the sender of the body owes the rest of it, so that
+// the failure of an exchange says nothing about the target.
+func (b *bodyRest) awaited() bool { return b != nil && (b.failed.Load() || b.reading.Load()) }
+
 // onDone is a reader that calls done when r has ended.
 type onDone struct {
 	r    io.Reader
