placement: rank hosts by class, then by score

Cause: Rank added penalties of five magnitudes into one score, so that a long queue or a download in another zone could outweigh the smallest of them, and a reader had to add numbers to see which host is asked first.

Change: a class (trial due, usual, refused, no retry budget, stale, ejected) comes first, the score in the unit of load second. TestClassBeforeLoad fails without the change.

--- a/placement/rank.go
+++ b/placement/rank.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,25 +30,29 @@
 	InBackoff       bool   // it was unreachable, and the backoff has not ended
 	OtherZone       bool   // in another availability zone
 	AdmitsRetry     bool   // its status shows that it would admit a retry of the request
-	score           float64
+	class           class
+	score           float64 // within the class, in the unit of load; the lowest is best
 }
 
-// riskGrowthPerSecond is added to the risk of a target for each second since its
-// host node reported it.
-const riskGrowthPerSecond = 0.08
+// class ranks candidates before their scores do: the lowest is best. The values
+// below zero exclude each other, the others are added up, so that each of them
+// outweighs all smaller ones together.
+type class int8
 
-// trialScore ranks a target whose trial request is due before all others. It is
-// added twice for a target that is recovering.
-const trialScore = -1
-
-// Penalties that rank a class of hosts behind all hosts with smaller ones.
 const (
-	refusedPenalty = 4
-	noRetryPenalty = 8 // for retries: the host had no retry budget left
-	stalePenalty   = 16
-	ejectedPenalty = 256
+	classRecoveringTrial class = iota - 2 // a trial request is due, and the newest one succeeded
+	classTrial                            // a trial request is due
+	classUsual
+	classRefused    class = 1 << (iota - 3) // it refused lately, or its status shows that it would refuse
+	classNoRetry                            // for retries: it had no retry budget left
+	classStale                              // nothing was received from it for long
+	classLastResort                         // its target is ejected
 )
 
+// riskGrowthPerSecond is added to the risk of a target for each second since its
+// host node reported it.
+const riskGrowthPerSecond = 0.08
+
 // wouldRefuse reports whether the host's status shows that it would refuse the
 // request now: all slots are in use and others wait for one, or the risk of its
 // target exceeds what the request accepts.
@@ -85,13 +90,10 @@
 		out = slices.DeleteFunc(out, func(c Candidate) bool { return c.InBackoff })
 	}
 	slices.SortFunc(out, func(a, b Candidate) int {
-		switch {
-		case a.score < b.score:
-			return -1
-		case a.score > b.score:
-			return 1
+		if a.class != b.class {
+			return int(a.class) - int(b.class)
 		}
-		return 0
+		return cmp.Compare(a.score, b.score)
 	})
 	return out
 }
@@ -158,55 +160,80 @@
 	return v.cfg.LongIdleBonus * min(1, idle.Seconds()/v.cfg.LongIdleAfter.Seconds())
 }
 
-// candidate rates the host for the request; the lowest score ranks first.
+// candidate rates the host for the request.
 func (v *View) candidate(h *host, r Request, now time.Duration) Candidate {
 	s := &h.status
 	age := now - h.statusAt
-	slots := max(1, s.Slots)
-	load := float64(max(s.Running+s.Waiting, h.inFlight)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.NotRun && s.AdmitsResends}
-	c.score = load + v.cfg.Jitter*v.rand.Float64()
+	c := Candidate{
+		Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil,
+		OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.NotRun && s.AdmitsResends,
+	}
+	trial := s.Ejected && v.isTrial(h, r, age, now)
+	c.LastResort = s.Ejected && !trial
+	c.class = v.class(h, r, &c, trial, now)
+	if trial {
+		c.score = v.cfg.Jitter*v.rand.Float64() - v.longIdleBonus(s.Idle+age)
+		return c
+	}
+	c.score = v.score(h, r, age)
+	return c
+}
+
+// isTrial decides whether the request becomes the trial request of an ejected
+// target.
+func (v *View) isTrial(h *host, r Request, age, now time.Duration) bool {
+	due := h.status.TrialIn <= age && now >= h.refusedUntil && v.mayBeTrial(h, r, age)
+	return due && v.rand.Float64() < v.trialChance(h, age-h.status.TrialIn)
+}
+
+// class returns the class of a candidate for the request.
+func (v *View) class(h *host, r Request, c *Candidate, trial bool, now time.Duration) class {
+	out := classUsual
+	if c.RecentlyRefused {
+		out += classRefused
+	}
+	if r.Retry && !c.AdmitsRetry {
+		out += classNoRetry
+	}
+	if now-h.lastHeard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
+		out += classStale
+	}
+	switch {
+	case c.LastResort:
+		out += classLastResort
+	case trial && out == classUsual && h.status.Recovering:
+		return classRecoveringTrial
+	case trial && out == classUsual:
+		return classTrial
+	}
+	return out
+}
+
+// score rates the host for the request among hosts of the same class.
+func (v *View) score(h *host, r Request, age time.Duration) float64 {
+	s := &h.status
+	score := float64(max(s.Running+s.Waiting, h.inFlight))/float64(max(1, s.Slots)) + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
-		c.score -= v.cfg.SelfBonus
+		score -= v.cfg.SelfBonus
 	case h.Zone != v.cfg.Zone && r.Download:
-		c.score += v.cfg.OtherZoneDownloadPenalty
+		score += v.cfg.OtherZoneDownloadPenalty
 	case h.Zone != v.cfg.Zone:
-		c.score += v.cfg.OtherZonePenalty
+		score += v.cfg.OtherZonePenalty
 	}
 	if s.Cold {
-		c.score += v.cfg.ColdStartPenalty
+		score += v.cfg.ColdStartPenalty
 	}
 	switch {
 	case s.Ejected:
-		trialDue := s.TrialIn <= age && now >= h.refusedUntil && v.mayBeTrial(h, r, age)
-		if trialDue && v.rand.Float64() < v.trialChance(h, age-s.TrialIn) {
-			c.score = trialScore + v.cfg.Jitter*v.rand.Float64() - v.longIdleBonus(s.Idle+age)
-			if s.Recovering {
-				c.score += trialScore
-			}
-		} else {
-			c.LastResort = true
-			c.score += ejectedPenalty
-		}
 	case (r.testIdle || !s.Tested) && !r.NoRetry && v.isIdle(h, age):
-		c.score -= v.cfg.IdleBonus
+		score -= v.cfg.IdleBonus
 	case r.Idempotent && !r.NoRetry && s.Running == 0 && h.inFlight == 0:
-		c.score -= v.longIdleBonus(s.Idle + age)
-	}
-	if risk := v.risk(h, age); r.Idempotent {
-		c.score += v.cfg.IdempotentRiskWeight * risk
-	} else {
-		c.score += v.cfg.NonIdempotentRiskWeight * risk
+		score -= v.longIdleBonus(s.Idle + age)
 	}
-	if c.RecentlyRefused {
-		c.score += refusedPenalty
-	}
-	if r.Retry && !c.AdmitsRetry {
-		c.score += noRetryPenalty
-	}
-	if now-h.lastHeard > v.cfg.StaleAfter && h.Addr != v.cfg.Self {
-		c.score += stalePenalty
+	weight := v.cfg.NonIdempotentRiskWeight
+	if r.Idempotent {
+		weight = v.cfg.IdempotentRiskWeight
 	}
-	return c
+	return score + weight*v.risk(h, age)
 }
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -330,3 +331,26 @@
 		t.Errorf("time %v with ten requests ahead on ten slots", wait)
 	}
 }
+
+// Guards against hosts that would refuse the request, or that are probably down,
+// and are asked before others only because these have longer queues.
+func TestClassBeforeLoad(t *testing.T) {
+	v := newTestView()
+	v.Update(Host{"stale", "z1"}, healthy(5, 0))
+	v.now += v.cfg.StaleAfter + time.Second
+	long := healthy(1, 6)
+	v.Update(Host{"far with a queue", "z2"}, long)
+	v.Update(Host{"no budget", "z1"}, healthy(5, 0))
+	v.Update(Host{"refused", "z1"}, healthy(5, 0))
+	v.Update(Host{"ejected", "z1"}, ejected(time.Hour))
+	for _, addr := range []string{"far with a queue", "refused", "stale"} {
+		v.hosts[addr].status.AdmitsRetries = true
+	}
+	v.Refused("refused")
+	want := []string{"far with a queue", "refused", "no budget", "stale", "ejected"}
+	for range 50 {
+		if got := v.rankedAddrs(Request{Retry: true, Download: true, Idempotent: true, NoRetry: true}); !slices.Equal(got, want) {
+			t.Fatalf("ranking %q, want %q", got, want)
+		}
+	}
+}
