mesh: leave more room below the retry budget

Cause: requests that wait use the budget as soon as there is some.

Change: 85%, and 90% (95% before) beyond which nothing more is admitted.

--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -24,7 +24,7 @@
 	// run may use the allowance, as all retries of non-idempotent requests do:
 	// without one they are refused. A retry or hedge of an idempotent request
 	// that may have run often only saves time.
-	orderShare = 0.9
+	orderShare = 0.85
 	// nestedCallShare is the fraction up to which retries and the calls that
 	// retried runs make may use the allowance together, and maxCallShare the
 	// fraction up to which such calls alone may. directShare is the fraction
@@ -36,7 +36,7 @@
 	directShare     = 0.2
 	// mostShare is the fraction beyond which neither is admitted, whatever the
 	// shares, since calls are attributed to retried runs by probabilities.
-	mostShare = 0.95
+	mostShare = 0.9
 	// minAssumedHosts is the smallest number of hosts among which the slack of
 	// a service is divided. A node that knows few other hosts must not claim
 	// their share.
