queues: admit by objective and deadline, refuse at once what has no room

Cause: a request waited between 0.3 and 0.6 of its objective, at one host after another, and was then refused, whatever its deadline. In a burst the callers lost seconds, and each request asked 37 to 99 times for a slot.

It admits a request only if its estimated start is in time, by the objective or, where the capacity that is usually free covers it, by the deadline, and keeps what it has promised. Entry nodes join the line of the host with the shortest stated wait, learn by a 102 response that they are in line, and move on with their place if the host fails. If the hosts with the shortest waits have no room the request is refused at once. A waiter is no longer dropped because one failure raises the risk for a moment.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -77,8 +78,10 @@
 	CalledByRetry float64
 	MaxRisk       float64       // highest accepted Status.Risk of a target; ignored if the request may be a trial
 	AllowUntested bool          // accept a target without any success
+	LostPlace     bool          // it waited at another host that failed or stops, and moves on
 	LastResort    bool          // no other target was found; accept an ejected one where that is safe
-	MaxWait       time.Duration // longest wait for a slot; 0 for none
+	MaxWait       time.Duration // longest wait for a slot that is of any use; 0 for none
+	GoodWait      time.Duration // longest wait with which the request probably meets its objective; 0 if it can't
 	OverdueAfter  time.Duration // run time after which the failure detector counts the request as overdue; 0 for never
 }
 
@@ -97,6 +100,7 @@
 	Slots         int
 	Running       int
 	Waiting       int
+	Wait          time.Duration // estimated wait for a slot of a request that can meet its objective
 	TrialIn       time.Duration // time until the next trial request is due, if Ejected
 	Tested        bool          // a request has succeeded since the target became known
 	Risk          float64       // probability that a request sent now fails because of a gray failure
@@ -112,9 +116,6 @@
 // up to 100 ms on each side.
 const reservationTTL = 400 * time.Millisecond
 
-// maxQueuePerSlot is the most requests that may wait, per slot of the target.
-const maxQueuePerSlot = 4
-
 // Gate admits requests to the target on this node's host. Its methods are safe
 // for concurrent use.
 type Gate struct {
@@ -128,18 +129,14 @@
 	stopping      bool
 	detector      *Detector
 	running       int
-	waiters       []*waiter      // by priority, then arrival
+	queue         queue
+	recheck       *time.Timer    // set while waiters that were passed over will be looked at again
 	open          []*Reservation // requests that were sent and have not ended
 	holdTime      time.Duration  // moving average of the time that a request holds its slot
 	overdueFactor float64        // factor on Request.OverdueAfter for this target
 	lastRequest   time.Duration  // when the target got its newest request or became known
 }
 
-type waiter struct {
-	req  Request
-	done chan decision // capacity 1
-}
-
 // decision is the answer to a request that waited for a slot.
 type decision struct {
 	reservation *Reservation // nil if the request was refused
@@ -152,7 +149,7 @@
 	if onChange == nil {
 		onChange = func() {}
 	}
-	return &Gate{now: now, detectorCfg: cfg, onChange: onChange, detector: NewDetector(cfg), holdTime: initialHoldTime, overdueFactor: 1}
+	return &Gate{now: now, detectorCfg: cfg, onChange: onChange, detector: NewDetector(cfg), queue: newQueue(), holdTime: initialHoldTime, overdueFactor: 1}
 }
 
 // initialHoldTime is the assumed time that a request holds its slot, until one
@@ -212,6 +209,12 @@
 // Reserve takes a slot for the request, and waits for one if the request allows
 // it. A refusal proves that the request did not run.
 func (g *Gate) Reserve(ctx context.Context, req Request) (*Reservation, Reason) {
+	return g.ReserveInLine(ctx, req, func() {})
+}
+
+// ReserveInLine is Reserve with a function that is called if the request has to
+// wait.
+func (g *Gate) ReserveInLine(ctx context.Context, req Request, onQueued func()) (*Reservation, Reason) {
 	g.mu.Lock()
 	if reason := g.check(req); reason != None {
 		g.mu.Unlock()
@@ -227,6 +230,7 @@
 	if w == nil {
 		return nil, TargetBusy
 	}
+	onQueued()
 	return g.wait(ctx, w)
 }
 
@@ -299,6 +303,8 @@
 func (g *Gate) idle(now time.Duration) time.Duration { return now - g.lastRequest }
 
 func (g *Gate) grant(req Request) *Reservation {
+	g.observeLoad()
+	g.queue.meter.start(req.Priority)
 	g.running++
 	g.lastRequest = g.now()
 	r := &Reservation{gate: g, detector: g.detector, zone: req.Zone, start: g.now(), overdueAfter: req.OverdueAfter}
@@ -310,26 +316,59 @@
 	return r
 }
 
-// enqueue adds the request to the queue. It returns nil if the queue is full or
-// the estimated wait exceeds Request.MaxWait.
+// enqueue adds the request to the queue. It returns nil if the request is not
+// expected to get a slot in time.
 func (g *Gate) enqueue(req Request) *waiter {
-	if req.MaxWait <= 0 || g.target.Slots <= 0 || len(g.waiters) >= maxQueuePerSlot*g.target.Slots {
+	if g.target.Slots <= 0 {
 		return nil
 	}
-	at := len(g.waiters)
-	for at > 0 && g.waiters[at-1].req.Priority > req.Priority {
-		at--
-	}
-	if estimate := g.holdTime * time.Duration(at+1) / time.Duration(g.target.Slots); estimate > req.MaxWait {
+	g.observeLoad()
+	g.queue.meter.observeWait(req.MaxWait)
+	w := newWaiter(req, g.now())
+	if !g.queue.add(w, g.now(), g.pace()) {
 		return nil
 	}
-	w := &waiter{req: req, done: make(chan decision, 1)}
-	g.waiters = append(g.waiters, nil)
-	copy(g.waiters[at+1:], g.waiters[at:])
-	g.waiters[at] = w
 	return w
 }
 
+// observeLoad tells the queue how many slots have been in use since the last
+// change.
+func (g *Gate) observeLoad() {
+	g.queue.meter.observe(g.now(), float64(g.running)/float64(max(1, g.target.Slots)))
+}
+
+// pace returns how fast the target takes requests. A slot whose request is
+// overdue does not count, since the request may hold it until its deadline. If
+// that is so for all of them, they are expected to be held for as long again.
+func (g *Gate) pace() pace {
+	now := g.now()
+	stuck, age := 0, time.Duration(math.MaxInt64)
+	for _, r := range g.open {
+		if r.overdue && r.detector == g.detector {
+			stuck++
+			age = min(age, now-r.start)
+		}
+	}
+	slots := time.Duration(max(1, g.target.Slots))
+	p := pace{perPlace: g.holdTime / slots, spare: 1 - g.queue.meter.inUse}
+	switch {
+	case stuck >= g.target.Slots && stuck > 0:
+		p.perPlace = max(g.holdTime, age) / slots
+	case stuck > 0:
+		p.perPlace = g.holdTime / (slots - time.Duration(stuck))
+	}
+	return p
+}
+
+// expectedWait returns the estimated wait of a request that can meet its
+// objective.
+func (g *Gate) expectedWait(now time.Duration) time.Duration {
+	if g.running < g.target.Slots {
+		return 0
+	}
+	return time.Duration(g.queue.bias*float64(g.pace().perPlace)) * time.Duration(g.queue.onTime(now)+1)
+}
+
 func (g *Gate) wait(ctx context.Context, w *waiter) (*Reservation, Reason) {
 	timer := time.NewTimer(w.req.MaxWait)
 	defer timer.Stop()
@@ -342,7 +381,7 @@
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	removed := g.removeWaiter(w)
+	removed := g.queue.remove(w)
 	g.mu.Unlock()
 	if removed {
 		return nil, reason
@@ -356,35 +395,67 @@
 	return d.reservation, d.reason
 }
 
-func (g *Gate) removeWaiter(w *waiter) bool {
-	for i, x := range g.waiters {
-		if x == w {
-			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
 // dispatch gives free slots to the waiters in order and refuses those that are
-// no longer admitted.
+// no longer admitted. Those to which the risk of the target is too high at the
+// moment are passed over.
 func (g *Gate) dispatch() {
-	for g.running < g.target.Slots && len(g.waiters) > 0 {
-		w := g.waiters[0]
-		g.waiters = g.waiters[1:]
-		d := decision{reason: g.check(w.req)}
-		if d.reason == None {
+	now := g.now()
+	g.queue.demoteLate(now)
+	passed := false
+	for i := 0; i < len(g.queue.waiters) && g.running < g.target.Slots; {
+		w := g.queue.waiters[i]
+		reason := g.check(w.req)
+		if reason == TargetUnproven && g.mayStay(w, now) {
+			passed = true
+			i++
+			continue
+		}
+		g.queue.take(i)
+		d := decision{reason: reason}
+		if reason == None {
+			g.queue.observeWait(w, now)
 			d.reservation = g.grant(w.req)
 		}
 		w.done <- d
 	}
+	if passed && g.recheck == nil {
+		g.recheck = time.AfterFunc(max(minRecheck, g.holdTime/recheckPerHold), g.dispatchAgain)
+	}
+}
+
+const (
+	// minRecheck and recheckPerHold set how soon waiters that were passed over are
+	// looked at again: a fraction of the time for which a request holds its slot,
+	// in which the risk changes.
+	minRecheck     = 5 * time.Millisecond
+	recheckPerHold = 4
+	// maxPassedHolds is the number of mean run times after which a waiter that is
+	// passed over leaves the line.
+	maxPassedHolds = 3
+)
+
+func (g *Gate) dispatchAgain() {
+	g.mu.Lock()
+	g.recheck = nil
+	g.dispatch()
+	g.mu.Unlock()
+}
+
+// mayStay reports whether a waiter for which the risk is too high stays in line. A
+// risk that rose by a single failure or a slow request falls again within the time
+// of a few runs; a request that moves on loses its place.
+func (g *Gate) mayStay(w *waiter, now time.Duration) bool {
+	if w.passedAt == 0 {
+		w.passedAt = now
+	}
+	return now-w.passedAt < maxPassedHolds*g.holdTime
 }
 
 func (g *Gate) refuseWaiters(reason Reason) {
-	for _, w := range g.waiters {
+	for _, w := range g.queue.waiters {
 		w.done <- decision{reason: reason}
 	}
-	g.waiters = nil
+	g.queue.waiters = nil
 }
 
 // Status returns the current status.
@@ -395,7 +466,7 @@
 	return Status{
 		Target: g.target.ID, Service: g.target.Service, Phase: g.target.Phase, Stopping: g.stopping,
 		Ejected: g.detector.Ejected(), Recovering: g.detector.Recovering(), Cold: now < g.coldUntil, Slots: g.target.Slots,
-		Running: g.running, Waiting: len(g.waiters),
+		Running: g.running, Waiting: len(g.queue.waiters), Wait: g.expectedWait(now),
 		TrialIn: g.detector.TrialIn(now), Tested: g.detector.Tested(), Idle: g.idle(now),
 		Risk: g.grayRisk(now),
 	}
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -148,6 +148,7 @@
 func (g *Gate) release(r *Reservation, o Outcome) {
 	g.mu.Lock()
 	now := g.now()
+	g.observeLoad()
 	g.running--
 	g.open = slices.DeleteFunc(g.open, func(x *Reservation) bool { return x == r })
 	wasRecovering := r.detector.Recovering()
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -62,11 +62,17 @@
 
 // reserve reserves a slot for a request and counts the request.
 func (b *budget) reserve(ctx context.Context, g *admission.Gate, r admission.Request) (*admission.Reservation, admission.Reason) {
+	return b.reserveInLine(ctx, g, r, func() {})
+}
+
+// reserveInLine is reserve with a function that is called if the request has to
+// wait.
+func (b *budget) reserveInLine(ctx context.Context, g *admission.Gate, r admission.Request, onQueued func()) (*admission.Reservation, admission.Reason) {
 	b.configure()
 	if r.Retry && !b.admitRetry(r) {
 		return nil, admission.NoBudget
 	}
-	reserved, reason := g.Reserve(ctx, r)
+	reserved, reason := g.ReserveInLine(ctx, r, onQueued)
 	switch {
 	case reserved == nil && r.Retry:
 		b.window.Spend(b.now(), -1)
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -24,6 +24,7 @@
 	TrialIn int64
 	Idle    int64
 	Risk    int64 // in thousandths
+	Wait    int64
 }
 
 // Bits of wireStatus.Flags.
@@ -52,6 +53,7 @@
 	// CalledByRetry is in thousandths.
 	CalledByRetry int64
 	Customer      string
+	GoodWait      int64
 }
 
 // Bits of wireReservation.Flags.
@@ -61,6 +63,7 @@
 	flagAllowUntested
 	flagNoRetry
 	flagRetry
+	flagLostPlace
 )
 
 // heartbeat is the datagram in which a node sends its state.
@@ -105,7 +108,7 @@
 		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries) | flagIf(s.AdmitsRetryCalls, flagAdmitsRetryCalls),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		TrialIn: s.TrialIn.Milliseconds(), Idle: s.Idle.Milliseconds(),
-		Risk: toThousandths(s.Risk),
+		Risk: toThousandths(s.Risk), Wait: s.Wait.Milliseconds(),
 	}
 }
 
@@ -121,15 +124,17 @@
 		TrialIn: time.Duration(w.TrialIn) * time.Millisecond,
 		Idle:    time.Duration(w.Idle) * time.Millisecond,
 		Risk:    float64(w.Risk) / 1000,
+		Wait:    time.Duration(w.Wait) * time.Millisecond,
 	}, nil
 }
 
 func encodeReservation(r admission.Request) wireReservation {
 	return wireReservation{
 		Target: r.Target, Service: r.Service, Zone: r.Zone, Priority: r.Priority,
-		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry),
+		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry) | flagIf(r.LostPlace, flagLostPlace),
 		MaxWait: r.MaxWait.Milliseconds(), Overdue: r.OverdueAfter.Milliseconds(),
 		MaxRisk: toThousandths(r.MaxRisk), CalledByRetry: toThousandths(r.CalledByRetry), Customer: r.Customer,
+		GoodWait: r.GoodWait.Milliseconds(),
 	}
 }
 
@@ -137,9 +142,10 @@
 	return admission.Request{
 		Target: w.Target, Service: w.Service, Zone: w.Zone, Priority: w.Priority,
 		Idempotent: w.Flags&flagIdempotent != 0, LastResort: w.Flags&flagLastResort != 0,
-		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0,
+		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0, LostPlace: w.Flags&flagLostPlace != 0,
 		MaxWait: time.Duration(w.MaxWait) * time.Millisecond, OverdueAfter: time.Duration(w.Overdue) * time.Millisecond,
 		MaxRisk: float64(w.MaxRisk) / 1000, CalledByRetry: float64(w.CalledByRetry) / 1000, Customer: w.Customer,
+		GoodWait: time.Duration(w.GoodWait) * time.Millisecond,
 	}
 }
 
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -201,7 +201,7 @@
 			Phase:    admission.Phase(rapid.IntRange(0, 2).Draw(t, "phase")),
 			Stopping: rapid.Bool().Draw(t, "stopping"), Ejected: rapid.Bool().Draw(t, "ejected"), Cold: rapid.Bool().Draw(t, "cold"),
 			Slots: rapid.IntRange(0, 10_000).Draw(t, "slots"), Running: rapid.IntRange(0, 10_000).Draw(t, "running"),
-			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), TrialIn: millis("trial"),
+			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), TrialIn: millis("trial"), Wait: millis("expected wait"),
 			Recovering:    rapid.Bool().Draw(t, "returning"),
 			AdmitsRetries: rapid.Bool().Draw(t, "admits retries"), Risk: float64(rapid.IntRange(0, 1000).Draw(t, "risk")) / 1000,
 		}
@@ -225,7 +225,8 @@
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), MaxRisk: float64(rapid.IntRange(0, 1000).Draw(t, "risk")) / 1000,
 			AllowUntested: rapid.Bool().Draw(t, "allow untested"), LastResort: rapid.Bool().Draw(t, "last resort"),
 			Retry: rapid.Bool().Draw(t, "retry"), CalledByRetry: float64(rapid.IntRange(0, 1000).Draw(t, "called by retry")) / 1000,
-			NoRetry: rapid.Bool().Draw(t, "no retry"), MaxWait: millis("wait"),
+			NoRetry: rapid.Bool().Draw(t, "no retry"), MaxWait: millis("wait"), GoodWait: millis("good wait"), LostPlace: rapid.Bool().Draw(t, "lost place"),
+			Customer: rapid.StringN(0, 40, 80).Draw(t, "customer"),
 		}
 		var reserve wireReservation
 		if err := decodeField(encodeField(encodeReservation(r)), &reserve); err != nil {
--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -22,8 +22,19 @@
 	hedgeDelays *hedgeDelays
 	log         *eventLog
 	metrics     *metrics
+	stopping    context.Context // ends when requests may no longer wait for a target; nil for never
 }
 
+// stopWaiting returns the context that ends when requests may no longer wait.
+func (d *dispatcher) stopWaiting() context.Context {
+	if d.stopping == nil {
+		return context.Background()
+	}
+	return d.stopping
+}
+
+func (d *dispatcher) stopped() bool { return d.stopWaiting().Err() != nil }
+
 // reserver reserves slots at other nodes. The error is a refusal if the host
 // node refused the reservation.
 type reserver interface {
@@ -45,6 +56,9 @@
 	hedge       bool      // another attempt is in flight
 	retryRounds int       // rounds in which a retry asks host nodes
 
+	lostPlace bool // the host in whose queue the request waited failed or stops, so it looks for another one
+	noRoom    bool // the hosts with the shortest queues have no room in time
+
 	otherZoneAsks int // host nodes of other zones that were asked for a slot
 }
 
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -50,6 +50,11 @@
 	}).Info("request is overdue, sent to another target")
 }
 
+// leftQueue logs that a request left the queue of a host that is not heard of.
+func (l *eventLog) leftQueue(id, addr string, left time.Duration) {
+	l.log.WithFields(log.Fields{"request": id, "host": addr, "left_ms": left.Milliseconds()}).Info("host is silent, request leaves its queue")
+}
+
 func (l *eventLog) hostNotReached(id, addr string, err error) {
 	l.log.WithFields(log.Fields{"request": id, "host": addr, "error": err.Error()}).Info("host node not reached")
 }
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -42,9 +42,10 @@
 	req         admission.Request
 }
 
-// reserve reserves a slot for a request of this or another node.
-func (h *hostNode) reserve(ctx context.Context, r admission.Request) (*admission.Reservation, admission.Reason) {
-	reserved, reason := h.budget.reserve(ctx, h.gate, r)
+// reserve reserves a slot for a request of this or another node. onQueued is as
+// for Gate.ReserveInLine.
+func (h *hostNode) reserve(ctx context.Context, r admission.Request, onQueued func()) (*admission.Reservation, admission.Reason) {
+	reserved, reason := h.budget.reserveInLine(ctx, h.gate, r, onQueued)
 	h.metrics.reservation(reason)
 	return reserved, reason
 }
@@ -161,9 +162,14 @@
 		return
 	}
 	req := decodeReservation(wire)
-	reserved, reason := h.reserve(r.Context(), req)
 	out := w.Header()
 	out["Date"] = nil
+	reserved, reason := h.reserve(r.Context(), req, func() {
+		// Tell the entry node at once that the request has arrived and waits, and
+		// how long the queue is now.
+		out[headerStatus] = []string{encodeField(encodeStatus(h.status()))}
+		w.WriteHeader(http.StatusProcessing)
+	})
 	out[headerStatus] = []string{encodeField(encodeStatus(h.status()))}
 	if reserved == nil {
 		out[headerRefused] = []string{reason.String()}
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -98,6 +98,8 @@
 	t.inTime += x.inTime
 	t.late += x.late
 	t.refused += x.refused
+	t.refusedAfter = append(t.refusedAfter, x.refusedAfter...)
+	t.queued += x.queued
 	t.failed += x.failed
 	t.crossZone += x.crossZone
 	t.reservations += x.reservations
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -70,6 +70,8 @@
 	announced     atomic.Pointer[announcedState]
 	configReader  atomic.Bool
 	stopping      atomic.Bool
+	waiting       context.Context // ends when requests may no longer wait for a target
+	endWaiting    context.CancelFunc
 	cancel        context.CancelFunc
 }
 
@@ -95,6 +97,7 @@
 		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
 		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue), readerChanged: make(chan struct{}, 1),
 	}
+	n.waiting, n.endWaiting = context.WithCancel(context.Background())
 	n.buildDataPath()
 	return n
 }
@@ -111,6 +114,7 @@
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
+		stopping: n.waiting,
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
@@ -302,13 +306,14 @@
 
 // Stop stops the node once its requests have ended, or when ctx ends. For the
 // duration of settle it still serves callers. Shortly before the end of that
-// period it refuses new requests for its target, and afterwards it lets those in
-// flight finish.
+// period it refuses new requests for its target. Afterwards it refuses callers'
+// requests that still wait for a target, and lets those in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
+	n.endWaiting()
 	err := errors.Join(n.callerServer.shutdown(ctx), n.nodeServer.shutdown(ctx))
 	n.cancel()
 	return err
--- /dev/null
+++ b/mesh/queue_load_test.go
@@ -0,0 +1,93 @@
+package mesh
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// burstLoad is a service of which orders and lookups use about two fifths of the
+// capacity, and in a burst of orders twice the capacity.
+func burstLoad(seed uint64, burst time.Duration) *simulation {
+	const ms = time.Millisecond
+	return &simulation{
+		zones: 4, seed: seed, duration: 30 * time.Second, period: 9 * time.Second, failShare: 0.85, mode: connectionReset,
+		hosts: []simService{{name: "orders", count: 16, slots: 15}},
+		classes: []simClass{
+			{simRoute("lookup", "orders", true, 4*time.Second, 15*time.Second, 3, 1), 30, 870 * ms, 0.5, "", 0},
+			{simRoute("order", "orders", false, 8*time.Second, 25*time.Second, 2, 2), 69, 1100 * ms, 0.5, "", 0},
+		},
+		bursts: []simBurst{{class: "order", from: 3 * time.Second, to: 3*time.Second + burst, factor: 6}},
+	}
+}
+
+func (t *simTally) share(n int) float64 { return float64(n) / float64(max(1, t.all)) }
+
+// refusedWithin returns the fraction of refusals that came within a wait.
+func (t *simTally) refusedWithin(wait time.Duration) float64 {
+	n := 0
+	for _, after := range t.refusedAfter {
+		if after <= wait {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(t.refusedAfter)))
+}
+
+// Guards against requests that are refused in a burst although the service can
+// serve them before their deadline, and against more urgent requests that suffer
+// from it. Demand is twice the capacity for 7 s.
+func TestShortBurstLosesNothing(t *testing.T) {
+	got := burstLoad(1, 7*time.Second).run(t)
+	for class, x := range got {
+		if refused := x.share(x.refused); refused > 0.01 {
+			t.Errorf("%.3f of %d requests of class %s were refused", refused, x.all, class)
+		}
+	}
+	if inTime := got["order"].share(got["order"].inTime); inTime < 0.75 {
+		t.Errorf("%.3f of the orders were in time", inTime)
+	}
+	if inTime := got["lookup"].share(got["lookup"].inTime); inTime < 0.98 {
+		t.Errorf("%.3f of the lookups were in time", inTime)
+	}
+}
+
+// Guards against requests that are refused only after they have waited, and
+// against queues in which all of them become late, when demand stays at twice the
+// capacity. The orders' own capacity in the simulated time is what is left beside
+// the lookups.
+func TestLongBurstIsRefusedAtOnce(t *testing.T) {
+	sim := burstLoad(1, 22*time.Second)
+	got := sim.run(t)
+	order := got["order"]
+	if atOnce := order.refusedWithin(50 * time.Millisecond); atOnce < 0.8 {
+		t.Errorf("%.3f of %d refusals came within 50 ms", atOnce, order.refused)
+	}
+	slots := float64(sim.hosts[0].count * sim.hosts[0].slots)
+	lookups := sim.classes[0]
+	capacity := (slots - lookups.rate*lookups.runTime.Seconds()) / sim.classes[1].runTime.Seconds() * sim.duration.Seconds()
+	if served := float64(order.inTime + order.late); served < 0.85*math.Min(capacity, float64(order.all)) {
+		t.Errorf("%.0f orders served, want most of %.0f", served, capacity)
+	}
+	if order.inTime < 2*order.late {
+		t.Errorf("%d orders in time, %d late", order.inTime, order.late)
+	}
+	for class, x := range got {
+		if perRequest := float64(x.reservations) / float64(x.all); perRequest > 8 {
+			t.Errorf("%.1f reservations for each request of class %s", perRequest, class)
+		}
+	}
+}
+
+// Guards against requests that wait at a host which dies, or whose target is
+// ejected, and are refused rather than moved on. Three targets in ten are in
+// gray failure at a time, each for 2.7 s, while demand is at the capacity that is
+// left.
+func TestWaitersMoveOn(t *testing.T) {
+	sim := burstLoad(1, 7*time.Second)
+	sim.grayShare, sim.bursts[0].factor = 0.3, 2.2
+	order := sim.run(t)["order"]
+	if refused := order.share(order.refused); refused > 0.02 {
+		t.Errorf("%.3f of %d orders were refused", refused, order.all)
+	}
+}
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,7 +18,7 @@
 
 const (
 	// reserveTimeout is how long a host node may take to respond to a
-	// reservation, beyond the wait for a slot. It exceeds a round trip between
+	// reservation, or to state that the request waits in line. It exceeds a round trip between
 	// zones plus a pause of a throttled process, which is up to 100 ms. A
 	// request that tries a host which is down loses this much of its time.
 	reserveTimeout = 120 * time.Millisecond
@@ -28,6 +29,8 @@
 	maxErrorText = 300
 )
 
+var errNoAnswer = errors.New("the host node did not answer the reservation")
+
 // nodeClient sends requests to other nodes.
 type nodeClient struct {
 	client  *upstream.Client
@@ -46,13 +49,19 @@
 // reserve asks the host node at addr for a slot. The error is a refusal if the
 // host node refused, and another one if it sent no valid response.
 func (c *nodeClient) reserve(ctx context.Context, addr string, r admission.Request) (reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.MaxWait+reserveTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	noAnswer := time.AfterFunc(reserveTimeout, func() { cancel(errNoAnswer) })
+	defer noAnswer.Stop()
+	onQueued := func(h http.Header) {
+		noAnswer.Stop()
+		c.updateStatus(addr, h)
+	}
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/"}, Host: addr,
 		Header: http.Header{"User-Agent": nil, headerReserve: {encodeField(encodeReservation(r))}}, Body: http.NoBody,
 	}
-	httpResp, err := c.client.Do(ctx, addr, req, upstream.Options{})
+	httpResp, err := c.client.Do(ctx, addr, req, upstream.Options{OnInformational: onQueued})
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -24,19 +24,26 @@
 	// maxOtherZoneAsks bounds the host nodes of other zones that a request asks
 	// while its own zone serves the service.
 	maxOtherZoneAsks = 10
-	// minQueueWait is the shortest wait in the queue of a host node. A request
-	// that has waited long enough before a retry still gets this chance.
-	minQueueWait = 100 * time.Millisecond
 	// roundPause is the pause between rounds in which every host node refused.
 	roundPause = 20 * time.Millisecond
 	// minSendTime is the least time that must be left for a request to be sent.
 	minSendTime = 60 * time.Millisecond
-	// A request waits for a target as long as runsLeftAfterWait mean run times
-	// are left until its objective, so that most responses are in time, but
-	// within minWaitShare and maxWaitShare of the objective.
-	runsLeftAfterWait = 2
-	minWaitShare      = 0.3
-	maxWaitShare      = 0.6
+	// A request can meet its objective as long as most runs that start then end
+	// in time. Where that leaves less than minWaitShare of the objective, some
+	// runs are short enough after a wait of that share. More than maxWaitShare is
+	// not promised: waits are estimates, and hosts fail meanwhile.
+	minWaitShare = 0.3
+	maxWaitShare = 0.75
+	// failedWaitShare is the fraction of the objective for which a request looks
+	// for another target while none is known to be healthy. It bounds the time
+	// that a caller loses to failures.
+	failedWaitShare = 0.6
+	// maxFullHosts is the number of host nodes with the shortest queues that have
+	// to state that they have no room in time, until a request is refused.
+	maxFullHosts = 4
+	// hostWatchInterval is how often a request that waits checks whether its host
+	// is still heard of.
+	hostWatchInterval = time.Second
 	// nestedMaxWaitShare is the fraction of its total time for which a nested
 	// call of a target waits, if that is longer: without a response the run
 	// that made the call is lost.
@@ -65,11 +72,14 @@
 		if err := c.ctx.Err(); err != nil {
 			return reservedTarget{}, c.endedError()
 		}
-		if c.left() <= minSendTime || (c.hasWaited() && (c.delivered == 0 || round+1 >= c.retryRounds)) {
+		if round > 0 && c.d.stopped() {
+			return reservedTarget{}, notRun(resultcode.NodeDraining, "this node stops, and no target took the request before")
+		}
+		if c.left() <= minSendTime || c.noRoom || (c.hasWaited() && !(c.lostPlace && c.usefulWait() > 0) && (c.delivered == 0 || round+1 >= c.retryRounds)) {
 			if t, ok := c.reserveEjected(); ok {
 				return t, nil
 			}
-			return reservedTarget{}, noTargetError("no target took the request in time", reason)
+			return reservedTarget{}, noTargetError("no target has room in time", reason)
 		}
 		if reason == admission.NoBudget && round+1 >= c.retryRounds {
 			return reservedTarget{}, noTargetError("no further target", reason)
@@ -90,26 +100,42 @@
 	return notRun(resultcode.QueueFull, "%s: %s", what, reason)
 }
 
-// hasWaited reports whether the request has waited for a target as long as it
-// may.
-func (c *call) hasWaited() bool { return c.waitLeft() < 0 }
+// hasWaited reports whether the request has looked for a healthy target as long
+// as it may.
+func (c *call) hasWaited() bool {
+	sought := time.Since(c.start)
+	limit := time.Duration(failedWaitShare * float64(c.route.Objective))
+	return sought > limit && c.nestedWait() <= 0 || c.goodWait() < 0 && c.nestedWait() <= 0
+}
 
-// waitLeft returns for how long the request may still wait for a target.
-func (c *call) waitLeft() time.Duration {
-	waited := time.Since(c.start)
-	limit := targetWait(c.route.Objective, c.d.latencies.expected(c.route))
-	if c.q.fromRunProb > likelyNested {
-		limit = max(limit, time.Duration(nestedMaxWaitShare*float64(waited+c.left())))
-	}
-	return limit - waited
+// goodWait returns for how long the request may still wait for a slot if it is
+// to meet its objective.
+func (c *call) goodWait() time.Duration {
+	return targetWait(c.route.Objective, c.d.latencies.overdue(c.route)) - time.Since(c.start)
 }
 
 // targetWait returns for how long a request waits for a target if it is to end
-// within its objective and runs for runTime on average.
+// within its objective and most runs take at most runTime.
 func targetWait(objective, runTime time.Duration) time.Duration {
 	least := time.Duration(minWaitShare * float64(objective))
 	most := time.Duration(maxWaitShare * float64(objective))
-	return min(max(objective-runsLeftAfterWait*runTime, least), most)
+	return min(max(objective-runTime, least), most)
+}
+
+// nestedWait returns for how long a nested call of a target may still wait, and 0
+// for other requests.
+func (c *call) nestedWait() time.Duration {
+	if c.q.fromRunProb <= likelyNested {
+		return 0
+	}
+	waited := time.Since(c.start)
+	return time.Duration(nestedMaxWaitShare*float64(waited+c.left())) - waited
+}
+
+// usefulWait returns for how long the request may still wait for a slot if it is
+// to end before its deadline.
+func (c *call) usefulWait() time.Duration {
+	return max(c.left()-c.d.latencies.overdue(c.route), c.goodWait(), c.nestedWait())
 }
 
 func (c *call) endedError() error {
@@ -130,12 +156,14 @@
 
 // tryRound asks the host nodes once. The first round asks for targets with a
 // recent success, the second for any that is not ejected, and later rounds wait
-// for a slot at one host.
+// for a slot.
 func (c *call) tryRound(round int) (reservedTarget, admission.Reason, bool) {
-	reason := admission.TargetBusy
-	if len(c.outOfBudget) > 0 {
-		reason = admission.NoBudget
+	if round > 1 {
+		if waiting := c.d.view.RankToWait(c.placementRequest(round), c.d.latencies.expected(c.route)); len(waiting) > 0 {
+			return c.waitInLine(waiting, round)
+		}
 	}
+	reason := c.defaultReason()
 	asked := 0
 	for _, cand := range c.candidates(round) {
 		if asked == maxHostsPerRound || c.ctx.Err() != nil {
@@ -154,6 +182,81 @@
 	return reservedTarget{}, reason, false
 }
 
+// defaultReason returns the reason of refusal if no host node is asked.
+func (c *call) defaultReason() admission.Reason {
+	if len(c.outOfBudget) > 0 {
+		return admission.NoBudget
+	}
+	return admission.TargetBusy
+}
+
+// waitInLine waits for a slot at the first of the hosts that expects to have one
+// in time. It sets c.noRoom if those with the shortest queues do not.
+func (c *call) waitInLine(hosts []placement.Candidate, round int) (reservedTarget, admission.Reason, bool) {
+	reason := c.defaultReason()
+	full, asked := 0, 0
+	for _, cand := range hosts {
+		if full == maxFullHosts || asked == maxHostsPerRound+maxFullHosts || c.ctx.Err() != nil {
+			break
+		}
+		if cand.OtherZone && !c.mayAskOtherZone() {
+			continue
+		}
+		asked++
+		var t reservedTarget
+		var ok bool
+		if t, reason, ok = c.waitAt(cand, round); ok {
+			return t, admission.None, true
+		}
+		if reason == admission.TargetBusy {
+			full++
+		}
+	}
+	c.noRoom = full > 0 && (full == maxFullHosts || full == asked)
+	return reservedTarget{}, reason, false
+}
+
+// waitAt waits for a slot at one host. It ends the wait if nothing is heard of the
+// host any longer, or if this node stops.
+func (c *call) waitAt(cand placement.Candidate, round int) (reservedTarget, admission.Reason, bool) {
+	req := c.reservationRequest(cand, round)
+	req.GoodWait = max(0, c.goodWait(), c.nestedWait())
+	req.MaxWait = max(c.usefulWait(), 0)
+	req.LostPlace = c.lostPlace
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	defer context.AfterFunc(c.d.stopWaiting(), cancel)()
+	if cand.Addr != c.d.localAddr {
+		go c.watchHost(ctx, cand.Addr, cancel)
+	}
+	c.d.view.Queued(cand.Addr)
+	start := time.Now()
+	t, reason, ok := c.reserveIn(ctx, cand, req)
+	if !ok && reason != admission.TargetBusy && time.Since(start) >= roundPause {
+		c.lostPlace = true
+	}
+	return t, reason, ok
+}
+
+// watchHost calls leave once nothing has been heard of the host for too long. The
+// connection stays open while a process is suspended.
+func (c *call) watchHost(ctx context.Context, addr string, leave func()) {
+	ticker := time.NewTicker(hostWatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if c.d.view.Silent(addr) {
+				c.d.log.leftQueue(c.q.id, addr, c.left())
+				leave()
+				return
+			}
+		}
+	}
+}
+
 // mayAskOtherZone reports whether the request may ask one more host of another
 // zone, and counts it. A request that few of them accept waits in its own zone:
 // asking all of them again and again costs more traffic between zones than the
@@ -191,10 +294,14 @@
 
 // rankedHosts returns all host nodes of the service, best first for a round.
 func (c *call) rankedHosts(round int) []placement.Candidate {
-	return c.d.view.Rank(placement.Request{
+	return c.d.view.Rank(c.placementRequest(round))
+}
+
+func (c *call) placementRequest(round int) placement.Request {
+	return placement.Request{
 		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, MaxRisk: c.maxRisk(round),
 		Download: c.route.Download, Tried: append(slices.Clone(c.tried), c.outOfBudget...),
-	})
+	}
 }
 
 // candidates returns the host nodes to ask in a round.
@@ -207,9 +314,6 @@
 		}
 		return all[:1]
 	}
-	if round > 1 {
-		return queueCandidates(all)
-	}
 	out := all[:0]
 	for _, cand := range all {
 		if !cand.RecentlyRefused && !cand.LastResort {
@@ -219,35 +323,13 @@
 	return out
 }
 
-// queueCandidates returns the hosts that have not refused recently and, last,
-// the best of the others, at which to wait for a slot. Its availability zone
-// counts in the ranking only: a zone with few targets must not make its callers
-// wait while targets of other zones have shorter queues.
-func queueCandidates(all []placement.Candidate) []placement.Candidate {
-	var free, queue []placement.Candidate
-	for _, cand := range all {
-		switch {
-		case cand.LastResort:
-		case !cand.RecentlyRefused:
-			free = append(free, cand)
-		case len(queue) == 0:
-			queue = []placement.Candidate{cand}
-		}
-	}
-	return append(free, queue...)
-}
-
 func (c *call) reservationRequest(cand placement.Candidate, round int) admission.Request {
-	r := admission.Request{
+	return admission.Request{
 		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
 		Retry: c.delivered > 0, CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
 	}
-	if round > 1 && cand.RecentlyRefused {
-		r.MaxWait = min(max(c.waitLeft(), minQueueWait), c.left()/2)
-	}
-	return r
 }
 
 // maxRisk returns the probability of failure that the request accepts in a
@@ -282,8 +364,13 @@
 }
 
 func (c *call) reserve(cand placement.Candidate, req admission.Request) (reservedTarget, admission.Reason, bool) {
+	return c.reserveIn(c.ctx, cand, req)
+}
+
+// reserveIn is reserve with a context that may end before the call's.
+func (c *call) reserveIn(ctx context.Context, cand placement.Candidate, req admission.Request) (reservedTarget, admission.Reason, bool) {
 	if cand.Addr == c.d.localAddr {
-		reserved, reason := c.d.local.reserve(c.ctx, req)
+		reserved, reason := c.d.local.reserve(ctx, req, func() {})
 		if reserved == nil {
 			c.recordRefusal(cand.Addr, reason)
 			return reservedTarget{}, reason, false
@@ -291,7 +378,7 @@
 		return reservedTarget{&localReservation{c.d.local, reserved, req}, cand.Addr, cand.Target}, admission.None, true
 	}
 	c.d.view.Ask(cand.Addr)
-	r, err := c.d.remote.reserve(c.ctx, cand.Addr, req)
+	r, err := c.d.remote.reserve(ctx, cand.Addr, req)
 	var refused refusal
 	switch {
 	case err == nil:
@@ -301,7 +388,7 @@
 		c.d.view.PathSucceeded(cand.Addr)
 		c.recordRefusal(cand.Addr, refused.reason)
 		return reservedTarget{}, refused.reason, false
-	case c.ctx.Err() != nil:
+	case ctx.Err() != nil:
 		return reservedTarget{}, admission.CallerLeft, false
 	}
 	c.d.view.PathFailed(cand.Addr)
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -37,6 +36,7 @@
 	grayService  string  // the only service with gray failures; all if empty
 	duration     time.Duration
 	burst        float64 // factor on the request rate in the middle third
+	bursts       []simBurst
 	cutShare     float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
 	seed         uint64
 	nodes        []*simNode
@@ -66,6 +66,14 @@
 	late  int   // number of targets that join after a third of the time
 }
 
+// simBurst is a time in which a class has a multiple of its requests.
+type simBurst struct {
+	class     string
+	from, to  time.Duration
+	factor    float64
+	customers []string // only requests of these customers; all if empty
+}
+
 type simClass struct {
 	route       dynamic.Route
 	rate        float64 // requests per second; 0 for nested calls only
@@ -115,10 +123,12 @@
 // simTally counts the outcomes of callers' requests.
 type simTally struct {
 	all, inTime, late, refused, failed int
+	refusedAfter                       []time.Duration
 	crossZone                          int // attempts sent to another availability zone
 	lost                               int // attempts that a gray failure made fail
 	reservations                       int // reservations asked of host nodes
 	crossZoneReservations              int // reservations asked of host nodes in another zone
+	queued                             int // reservations that had to wait in line
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
 }
@@ -337,6 +347,11 @@
 		if sim.burst > 0 && sim.inMiddleThird() {
 			rate *= sim.burst
 		}
+		for _, b := range sim.bursts {
+			if now := sim.fleetNow(); b.class == c.route.Name && now >= b.from && now < b.to {
+				rate *= b.factor
+			}
+		}
 		time.Sleep(time.Duration(-math.Log(1-sim.float()) / rate * float64(time.Second)))
 		n := sim.nodes[int(sim.float()*float64(len(sim.nodes)))]
 		callers.Go(func() {
@@ -368,6 +383,7 @@
 	switch {
 	case err != nil && asResultError(err).Ran == resultcode.RanNo:
 		t.refused++
+		t.refusedAfter = append(t.refusedAfter, time.Since(start))
 	case err != nil || resp.status != http.StatusOK:
 		t.failed++
 	case time.Since(start) > c.route.Objective:
@@ -400,11 +416,14 @@
 	})
 	if n.sim.isCut(n, host) {
 		n.sim.count(ctx, func(t *simTally) { t.unreachable++ })
-		sleepFor(ctx, r.MaxWait+reserveTimeout)
-		return nil, errors.New("no response")
+		sleepFor(ctx, reserveTimeout)
+		return nil, errNoAnswer
 	}
 	time.Sleep(n.sim.delay(n.zone, host.zone))
-	reserved, reason := host.budget.reserve(ctx, host.gate, r)
+	reserved, reason := host.budget.reserveInLine(ctx, host.gate, r, func() {
+		n.sim.count(ctx, func(t *simTally) { t.queued++ })
+		n.view.Refresh(addr, host.status())
+	})
 	status := host.status()
 	time.Sleep(n.sim.delay(n.zone, host.zone))
 	n.view.Refresh(addr, status)
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -22,11 +22,14 @@
 // Candidate is a host to ask.
 type Candidate struct {
 	Host
-	Target          string // ID of the target on the host
-	LastResort      bool   // ejected and not chosen for a trial request: ask only as the last resort
-	RecentlyRefused bool   // it refused a request within the refusal hold, or its status shows that it would
-	InBackoff       bool   // it was unreachable, and the backoff has not ended
-	OtherZone       bool   // in another availability zone
+	Target          string        // ID of the target on the host
+	LastResort      bool          // ejected and not chosen for a trial request: ask only as the last resort
+	RecentlyRefused bool          // it refused a request within the refusal hold, or its status shows that it would
+	InBackoff       bool          // it was unreachable, and the backoff has not ended
+	OtherZone       bool          // in another availability zone
+	Wait            time.Duration // estimated wait for a slot, by the host's status
+	tooRisky        bool          // its status shows a higher risk than the request accepts
+	load            float64       // requests that run or wait there, per slot
 	score           float64
 }
 
@@ -55,11 +58,17 @@
 	if h.Zone != v.cfg.Zone {
 		hold = v.cfg.OtherZoneStatusHold
 	}
-	if age > hold || s.Ejected {
+	if age > max(hold, time.Duration(waitHoldShare*float64(s.Wait))) || s.Ejected {
 		return false
 	}
+	return s.Running >= s.Slots && s.Waiting > 0 || v.tooRisky(h, r, age)
+}
+
+// tooRisky reports whether the host's status shows a higher risk than the request
+// accepts.
+func (v *View) tooRisky(h *host, r Request, age time.Duration) bool {
 	mayBeTrial := r.Idempotent && !r.NoRetry
-	return s.Running >= s.Slots && s.Waiting > 0 || !mayBeTrial && s.Tested && s.Risk > r.MaxRisk && !v.isIdle(h, age)
+	return !mayBeTrial && h.status.Tested && h.status.Risk > r.MaxRisk && !v.isIdle(h, age)
 }
 
 // Rank returns the hosts to ask, best first. Hosts with an ejected target that is
@@ -161,8 +170,8 @@
 	s := &h.status
 	age := now - h.statusAt
 	slots := max(1, s.Slots)
-	load := float64(max(s.Running+s.Waiting, h.inFlight)) / float64(slots)
-	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone}
+	load := float64(max(s.Running+s.Waiting+h.queued, h.inFlight)) / float64(slots)
+	c := Candidate{Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil, OtherZone: h.Zone != v.cfg.Zone, Wait: v.expectedWait(h), tooRisky: v.tooRisky(h, r, age), load: load}
 	c.score = load + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
--- a/placement/view.go
+++ b/placement/view.go
@@ -63,6 +63,7 @@
 	statusAt     time.Duration // when status was received
 	lastHeard    time.Duration // when anything was received
 	inFlight     int           // requests of this node in flight there
+	queued       int           // requests of this node that went in line there since status was received
 	pathFailures int           // consecutive failures to reach the host
 	avoidUntil   time.Duration // end of the backoff after a path failure
 	refusedUntil time.Duration // end of the hold after a refusal
@@ -110,7 +111,7 @@
 		known.pathFailures, known.avoidUntil = 0, 0 // the host is back
 	}
 	known.Host = h
-	known.status = s
+	known.status, known.queued = s, 0
 	known.statusAt = now
 	known.lastHeard = known.statusAt
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,6 +43,9 @@
 	// connection, which no earlier request can have caused. nil accepts every
 	// response.
 	Matches func(r *http.Response, fresh bool) bool
+	// OnInformational is called with the header of each 1xx response. nil ignores
+	// them.
+	OnInformational func(h http.Header)
 }
 
 const (
@@ -127,7 +130,7 @@
 			return nil, x.sendErr
 		}
 	}
-	resp, err := x.receiveMatching(req, opt.Matches)
+	resp, err := x.receiveMatching(req, opt)
 	if err != nil {
 		return nil, x.preferSendError(err)
 	}
@@ -158,10 +161,10 @@
 }
 
 // receiveMatching returns the first response that belongs to the request.
-func (x *exchange) receiveMatching(req *http.Request, matches func(*http.Response, bool) bool) (*http.Response, error) {
+func (x *exchange) receiveMatching(req *http.Request, opt Options) (*http.Response, error) {
 	for range maxMismatched {
-		resp, err := x.receive(req)
-		if err != nil || matches == nil || matches(resp, !x.reused && !x.mismatched) {
+		resp, err := x.receive(req, opt.OnInformational)
+		if err != nil || opt.Matches == nil || opt.Matches(resp, !x.reused && !x.mismatched) {
 			return resp, err
 		}
 		x.mismatched = true
@@ -190,7 +193,7 @@
 }
 
 // receive returns the next final response.
-func (x *exchange) receive(req *http.Request) (*http.Response, error) {
+func (x *exchange) receive(req *http.Request, onInformational func(http.Header)) (*http.Response, error) {
 	for range maxInformational {
 		x.conn.header.limit()
 		resp, err := http.ReadResponse(x.conn.br, req)
@@ -205,6 +208,8 @@
 			return resp, nil
 		case resp.StatusCode == http.StatusContinue && x.gate != nil:
 			x.gate.open()
+		case onInformational != nil:
+			onInformational(resp.Header)
 		}
 	}
 	return nil, errInformational
