queues: a full line is shared among customers by weight

Cause: a customer that floods a service filled all lines, and others were refused as often as its own requests.

Measured, simulated: one of twelve customers sends 80 times its usual for 12 s, twice the capacity with the others.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -65,14 +65,15 @@
 
 // Request describes the request for which an entry node wants a slot.
 type Request struct {
-	Target     string // ID of the target; empty for any
-	Service    string // service that the target must belong to
-	Zone       string // availability zone of the entry node
-	Customer   string // name of the caller's customer; empty for none
-	Priority   int    // 0 is the most urgent
-	Idempotent bool   // may run more than once, so it may serve as a trial request
-	NoRetry    bool   // idempotent, but could not be retried after a failure, so it is no trial request
-	Retry      bool   // a retry or hedge: an earlier attempt reached a target
+	Target     string  // ID of the target; empty for any
+	Service    string  // service that the target must belong to
+	Zone       string  // availability zone of the entry node
+	Customer   string  // name of the caller's customer; empty for none
+	Weight     float64 // the customer's share when a service has too little room; 0 for 1
+	Priority   int     // 0 is the most urgent
+	Idempotent bool    // may run more than once, so it may serve as a trial request
+	NoRetry    bool    // idempotent, but could not be retried after a failure, so it is no trial request
+	Retry      bool    // a retry or hedge: an earlier attempt reached a target
 	// CalledByRetry is the probability that the request was made by a run of
 	// another request that was itself a retry or hedge.
 	CalledByRetry float64
@@ -325,7 +326,12 @@
 	g.observeLoad()
 	g.queue.meter.observeWait(req.MaxWait)
 	w := newWaiter(req, g.now())
-	if !g.queue.add(w, g.now(), g.pace()) {
+	added := g.queue.add(w, g.now(), g.pace())
+	for _, x := range g.queue.evicted {
+		x.done <- decision{reason: TargetBusy}
+	}
+	g.queue.evicted = nil
+	if !added {
 		return nil
 	}
 	return w
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -47,7 +47,8 @@
 type queue struct {
 	waiters []*waiter
 	meter   loadMeter
-	bias    float64 // mean ratio of actual to estimated waits, at least 1
+	evicted []*waiter // left the line for requests of other customers and have to be refused
+	bias    float64   // mean ratio of actual to estimated waits, at least 1
 }
 
 const (
@@ -81,7 +82,9 @@
 		at = q.place(w)
 	}
 	if w.late && !(q.fits(w, at, now, p) && (w.req.LostPlace || q.foreseesRoom(w, p))) {
-		return false
+		if at = q.makeRoom(w, now, p); at < 0 {
+			return false
+		}
 	}
 	q.insert(w, at)
 	w.stated = q.wait(at, w.req.Priority, p)
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -226,7 +226,7 @@
 			AllowUntested: rapid.Bool().Draw(t, "allow untested"), LastResort: rapid.Bool().Draw(t, "last resort"),
 			Retry: rapid.Bool().Draw(t, "retry"), CalledByRetry: float64(rapid.IntRange(0, 1000).Draw(t, "called by retry")) / 1000,
 			NoRetry: rapid.Bool().Draw(t, "no retry"), MaxWait: millis("wait"), GoodWait: millis("good wait"), LostPlace: rapid.Bool().Draw(t, "lost place"),
-			Customer: rapid.StringN(0, 40, 80).Draw(t, "customer"),
+			Customer: rapid.StringN(0, 40, 80).Draw(t, "customer"), Weight: float64(rapid.IntRange(0, 1000).Draw(t, "weight")) / 1000,
 		}
 		var reserve wireReservation
 		if err := decodeField(encodeField(encodeReservation(r)), &reserve); err != nil {
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -28,6 +28,16 @@
 	return q.customer.Name
 }
 
+// weight returns the share of the request's customer when a service has too little
+// room: its agreed rate, which tells a large customer from one that floods. It is
+// 0 if there is none.
+func (q *request) weight() float64 {
+	if q.customer == nil {
+		return 0
+	}
+	return q.customer.Quota.PerSecond
+}
+
 // identify returns the customer that holds the request's key, or nil if callers
 // need none. A key that this node does not know may belong to a version that
 // another node has already; such a request is refused as not run rather than as
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -26,11 +26,11 @@
 		zones: 3, seed: seed, duration: 40 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75,
 		hosts: []simService{{name: "lookups", count: 9, slots: 4}, {name: "orders", count: 18, slots: 4}, {name: "archive", count: 6, slots: 4}},
 		classes: []simClass{
-			{simRoute("lookup", "lookups", true, 1500*ms, 2500*ms, 3, 2), 24, 420 * ms, 0.7, "colour", 0.7},
-			{simRoute("order", "orders", false, 1500*ms, 3000*ms, 2, 1), 71, 320 * ms, 0.5, "font", 0.7},
-			{simRoute("file", "archive", true, 1500*ms, 3000*ms, 3, 2), 8, 260 * ms, 0.7, "", 0},
-			{simRoute("colour", "orders", true, 300*ms, 1000*ms, 3, 0), 0, 81 * ms, 0.5, "", 0},
-			{simRoute("font", "archive", true, 300*ms, 1000*ms, 3, 0), 0, 81 * ms, 0.5, "", 0},
+			{simRoute("lookup", "lookups", true, 1500*ms, 2500*ms, 3, 2), 24, 420 * ms, 0.7, "colour", 0.7, nil},
+			{simRoute("order", "orders", false, 1500*ms, 3000*ms, 2, 1), 71, 320 * ms, 0.5, "font", 0.7, nil},
+			{simRoute("file", "archive", true, 1500*ms, 3000*ms, 3, 2), 8, 260 * ms, 0.7, "", 0, nil},
+			{simRoute("colour", "orders", true, 300*ms, 1000*ms, 3, 0), 0, 81 * ms, 0.5, "", 0, nil},
+			{simRoute("font", "archive", true, 300*ms, 1000*ms, 3, 0), 0, 81 * ms, 0.5, "", 0, nil},
 		},
 	}
 }
@@ -42,10 +42,10 @@
 		zones: 4, seed: seed, duration: 40 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75, mode: connectionReset,
 		hosts: []simService{{name: "desk", count: 17, slots: 5}, {name: "depot", count: 8, slots: 5}},
 		classes: []simClass{
-			{simRoute("read", "desk", true, 1000*ms, 2000*ms, 3, 2), 26.8, 290 * ms, 0.7, "check", 0.7},
-			{simRoute("order", "desk", false, 1000*ms, 2500*ms, 2, 1), 67, 380 * ms, 0.5, "", 0},
-			{simRoute("file", "depot", true, 800*ms, 2000*ms, 3, 2), 8.5, 230 * ms, 0.7, "", 0},
-			{simRoute("check", "depot", true, 250*ms, 800*ms, 3, 0), 0, 72 * ms, 0.5, "", 0},
+			{simRoute("read", "desk", true, 1000*ms, 2000*ms, 3, 2), 26.8, 290 * ms, 0.7, "check", 0.7, nil},
+			{simRoute("order", "desk", false, 1000*ms, 2500*ms, 2, 1), 67, 380 * ms, 0.5, "", 0, nil},
+			{simRoute("file", "depot", true, 800*ms, 2000*ms, 3, 2), 8.5, 230 * ms, 0.7, "", 0, nil},
+			{simRoute("check", "depot", true, 250*ms, 800*ms, 3, 0), 0, 72 * ms, 0.5, "", 0, nil},
 		},
 	}
 }
@@ -57,10 +57,10 @@
 		zones: 6, seed: seed, duration: 15 * time.Second, period: 9 * time.Second, grayShare: 0.3, failShare: 0.75, mode: connectionReset,
 		hosts: []simService{{name: "desk", count: 50, slots: 8}, {name: "depot", count: 10, slots: 8}},
 		classes: []simClass{
-			{simRoute("read", "desk", true, 1500*ms, 3000*ms, 3, 2), 83, 440 * ms, 0.7, "check", 0.7},
-			{simRoute("order", "desk", false, 1500*ms, 4000*ms, 2, 1), 208, 570 * ms, 0.5, "", 0},
-			{simRoute("file", "depot", true, 1500*ms, 4000*ms, 3, 2), 26, 350 * ms, 0.7, "", 0},
-			{simRoute("check", "depot", true, 400*ms, 1200*ms, 3, 0), 0, 110 * ms, 0.5, "", 0},
+			{simRoute("read", "desk", true, 1500*ms, 3000*ms, 3, 2), 83, 440 * ms, 0.7, "check", 0.7, nil},
+			{simRoute("order", "desk", false, 1500*ms, 4000*ms, 2, 1), 208, 570 * ms, 0.5, "", 0, nil},
+			{simRoute("file", "depot", true, 1500*ms, 4000*ms, 3, 2), 26, 350 * ms, 0.7, "", 0, nil},
+			{simRoute("check", "depot", true, 400*ms, 1200*ms, 3, 0), 0, 110 * ms, 0.5, "", 0, nil},
 		},
 	}
 }
@@ -358,8 +358,8 @@
 					zones: 3, seed: seed, duration: 4 * period, period: period, grayShare: grayShare, failShare: grayFailShare, wholePeriods: true,
 					hosts: []simService{{name: "desk", count: c.hosts, slots: c.slots}},
 					classes: []simClass{
-						{simRoute("order", "desk", false, objective, timeout, 2, 1), 0.7 * rate, c.runTime, 0.5, "", 0},
-						{simRoute("read", "desk", true, objective, timeout, 3, 2), 0.3 * rate, c.runTime, 0.5, "", 0},
+						{simRoute("order", "desk", false, objective, timeout, 2, 1), 0.7 * rate, c.runTime, 0.5, "", 0, nil},
+						{simRoute("read", "desk", true, objective, timeout, 3, 2), 0.3 * rate, c.runTime, 0.5, "", 0, nil},
 					},
 				}
 			})
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -26,12 +26,14 @@
 	registry  gometrics.Registry
 	requestMs gometrics.Histogram // latency of caller requests, in ms
 	targetMs  gometrics.Histogram // latency of exchanges with the target, in ms
+	queueMs   gometrics.Histogram // time in line at a host until a slot, in ms
 }
 
 func newMetrics() *metrics {
 	m := &metrics{registry: gometrics.NewRegistry()}
 	m.requestMs = m.histogram("mesh_request_ms")
 	m.targetMs = m.histogram("mesh_target_ms")
+	m.queueMs = m.histogram("mesh_queue_ms")
 	return m
 }
 
@@ -57,6 +59,11 @@
 	m.count("mesh_reservations_total." + reason.String())
 }
 
+// queueLeft counts a request that left a queue without a slot.
+func (m *metrics) queueLeft(reason admission.Reason) {
+	m.count("mesh_queue_left_total." + reason.String())
+}
+
 func (m *metrics) target(outcome admission.Outcome, took time.Duration) {
 	m.targetMs.Update(took.Milliseconds())
 	m.count("mesh_target_answers_total." + outcome.String())
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -19,6 +19,7 @@
 	m.request(nil, nil, time.Millisecond)
 	m.reservation(admission.TargetBusy)
 	m.target(admission.Success, time.Millisecond)
+	m.queueLeft(admission.TargetEjected)
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
 	m.count(metricForeignAnswers)
--- a/mesh/queue_load_test.go
+++ b/mesh/queue_load_test.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
+
+	"hyssopbridge/config/dynamic"
 )
 
 // burstLoad is a service of which orders and lookups use about two fifths of the
@@ -14,8 +17,8 @@
 		zones: 4, seed: seed, duration: 30 * time.Second, period: 9 * time.Second, failShare: 0.85, mode: connectionReset,
 		hosts: []simService{{name: "orders", count: 16, slots: 15}},
 		classes: []simClass{
-			{simRoute("lookup", "orders", true, 4*time.Second, 15*time.Second, 3, 1), 30, 870 * ms, 0.5, "", 0},
-			{simRoute("order", "orders", false, 8*time.Second, 25*time.Second, 2, 2), 69, 1100 * ms, 0.5, "", 0},
+			{simRoute("lookup", "orders", true, 4*time.Second, 15*time.Second, 3, 1), 30, 870 * ms, 0.5, "", 0, nil},
+			{simRoute("order", "orders", false, 8*time.Second, 25*time.Second, 2, 2), 69, 1100 * ms, 0.5, "", 0, nil},
 		},
 		bursts: []simBurst{{class: "order", from: 3 * time.Second, to: 3*time.Second + burst, factor: 6}},
 	}
@@ -91,3 +94,33 @@
 		t.Errorf("%.3f of %d orders were refused", refused, order.all)
 	}
 }
+
+// Guards against a customer that sends many times its usual, and so keeps others
+// from being served. Its flood takes more than the capacity for 12 s; ten small
+// customers and a large one send what they always do, which is less than half of
+// the capacity.
+func TestFloodTakesFromItsOwnShare(t *testing.T) {
+	sim := burstLoad(1, 0)
+	order := sim.classes[1]
+	sim.classes = nil
+	add := func(name string, rate float64) {
+		c := order
+		c.rate, c.customer = rate, &dynamic.Customer{Name: name, Quota: dynamic.Quota{PerSecond: rate}}
+		sim.classes = append(sim.classes, c)
+	}
+	add("large", 60)
+	add("flood", 5)
+	for i := range 10 {
+		add(fmt.Sprint("small", i), 3)
+	}
+	sim.bursts = []simBurst{{class: "order", from: 3 * time.Second, to: 15 * time.Second, factor: 80, customer: "flood"}}
+	got := sim.run(t)
+	for name, x := range got {
+		if refused := x.share(x.refused); name != "flood" && refused > 0.02 {
+			t.Errorf("%.3f of %d requests of customer %s were refused", refused, x.all, name)
+		}
+	}
+	if flood := got["flood"]; flood.served() < 0.2 || flood.refused == 0 {
+		t.Errorf("%.3f of %d requests of the flood were served, %d refused", flood.served(), flood.all, flood.refused)
+	}
+}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -232,8 +232,14 @@
 	c.d.view.Queued(cand.Addr)
 	start := time.Now()
 	t, reason, ok := c.reserveIn(ctx, cand, req)
-	if !ok && reason != admission.TargetBusy && time.Since(start) >= roundPause {
-		c.lostPlace = true
+	waited := time.Since(start)
+	switch {
+	case waited < roundPause: // answered without a wait
+	case ok:
+		c.d.metrics.queueMs.Update(waited.Milliseconds())
+	default:
+		c.lostPlace = c.lostPlace || reason != admission.TargetBusy
+		c.d.metrics.queueLeft(reason)
 	}
 	return t, reason, ok
 }
@@ -325,7 +331,7 @@
 
 func (c *call) reservationRequest(cand placement.Candidate, round int) admission.Request {
 	return admission.Request{
-		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Priority: c.q.priority(c.route),
+		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Weight: c.q.weight(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
 		Retry: c.delivered > 0, CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -68,19 +68,28 @@
 
 // simBurst is a time in which a class has a multiple of its requests.
 type simBurst struct {
-	class     string
-	from, to  time.Duration
-	factor    float64
-	customers []string // only requests of these customers; all if empty
+	class    string
+	from, to time.Duration
+	factor   float64
+	customer string // only requests of this customer; all if empty
 }
 
 type simClass struct {
 	route       dynamic.Route
 	rate        float64 // requests per second; 0 for nested calls only
 	runTime     time.Duration
-	spread      float64 // standard deviation of the logarithm of run times
-	calledClass string  // class of the nested calls that a fraction of its runs make
-	callShare   float64 // fraction of its runs that make a nested call
+	spread      float64           // standard deviation of the logarithm of run times
+	calledClass string            // class of the nested calls that a fraction of its runs make
+	callShare   float64           // fraction of its runs that make a nested call
+	customer    *dynamic.Customer // nil for none
+}
+
+// label is the name under which the outcomes of a class are counted.
+func (c *simClass) label() string {
+	if c.customer == nil {
+		return c.route.Name
+	}
+	return c.customer.Name
 }
 
 // simArrival is a request that arrives at a service, as a first attempt or a
@@ -348,7 +357,7 @@
 			rate *= sim.burst
 		}
 		for _, b := range sim.bursts {
-			if now := sim.fleetNow(); b.class == c.route.Name && now >= b.from && now < b.to {
+			if now := sim.fleetNow(); b.class == c.route.Name && (b.customer == "" || b.customer == c.label()) && now >= b.from && now < b.to {
 				rate *= b.factor
 			}
 		}
@@ -367,7 +376,7 @@
 func (n *simNode) request(ctx context.Context, c *simClass) bool {
 	start := time.Now()
 	until, _ := ctx.Deadline()
-	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
+	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, customer: c.customer, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
 	service := c.route.Shares[0].Service
 	if service != n.service.name {
 		q.fromRunProb, q.fromRetryProb = n.outboundCalls.record(c.route.Name, service)
@@ -378,7 +387,7 @@
 	}
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
-	t := n.sim.tallyOf(c.route.Name)
+	t := n.sim.tallyOf(c.label())
 	t.all++
 	switch {
 	case err != nil && asResultError(err).Ran == resultcode.RanNo:
@@ -478,7 +487,7 @@
 func (sim *simulation) count(ctx context.Context, update func(*simTally)) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).route.Name))
+	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).label()))
 }
 
 // retryKey is the context key that tells whether the run that makes a call is a
