--- a/mesh/node.go
+++ b/mesh/node.go
@@ -75,6 +75,8 @@
 	announced     atomic.Pointer[announcedState]
 	configReader  atomic.Bool
 	stopping      atomic.Bool
+	waiting       context.Context // ends when requests may no longer wait for a target
+	endWaiting    context.CancelFunc
 	cancel        context.CancelFunc
 }
 
@@ -105,6 +107,7 @@
 		send: n.peers.sendDatagram, metrics: n.metrics,
 	}
 	n.peers.quotas = n.quotas
+	n.waiting, n.endWaiting = context.WithCancel(context.Background())
 	n.buildDataPath()
 	return n
 }
@@ -129,6 +132,7 @@
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
 		budgetQueues: newBudgetQueues(n.now, policy, n.view.Nodes, n.cfg.Seed),
+		stopping:     n.waiting,
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
@@ -315,14 +319,15 @@
 
 // Stop stops the node once its requests have ended, or when ctx ends. For the
 // duration of settle it still serves callers. Shortly before the end of that
-// period it refuses new requests for its target, and afterwards it lets those in
-// flight finish.
+// period it refuses new requests for its target. Afterwards it refuses callers'
+// requests that still wait for a target, and lets those in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
 	n.entryNode.dispatcher.budgetQueues.stop()
+	n.endWaiting()
 	err := errors.Join(n.callerServer.shutdown(ctx), n.nodeServer.shutdown(ctx))
 	n.cancel()
 	return err
--- a/mesh/notrun_test.go
+++ b/mesh/notrun_test.go
@@ -298,7 +298,7 @@
 		return respondOK(w, r)
 	})
 	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
-	reserved, reason := n.hostNode.reserve(context.Background(), req)
+	reserved, reason := n.hostNode.reserve(context.Background(), req, func() {})
 	if reserved == nil {
 		t.Fatal(reason)
 	}
@@ -349,7 +349,7 @@
 func TestNotRunBeforeSend(t *testing.T) {
 	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
 	reserve := func(t *testing.T, n *Node) *admission.Reservation {
-		reserved, reason := n.hostNode.reserve(t.Context(), req)
+		reserved, reason := n.hostNode.reserve(t.Context(), req, func() {})
 		if reserved == nil {
 			t.Fatal(reason)
 		}
