mesh: confirm the configuration after a suspension; tests of keys and quotas

Cause: a process that was suspended answered by its old version until a datagram arrived, so it admitted keys that had been withdrawn meanwhile. A node that took over the quota of a customer counted the time before; TestQuotaOverNodes admitted 33 to 38 requests where 22 to 24 were within the quota.

Change: a node whose heartbeat loop made no step for 2 s answers 503 until another node has said that it knows no newer version, for at most 5 s. Contact that was not counted before a change of owner is forfeited. A request waits for a token only once.

--- a/limits/fleetshare.go
+++ b/limits/fleetshare.go
@@ -25,6 +25,7 @@
 	live      int           // live nodes of the zone, without this one
 	liveAt    time.Duration // when that was last stated
 	lastHeard time.Duration
+	counted   time.Duration // time up to which the zone has been counted
 }
 
 const (
@@ -53,7 +54,7 @@
 func (f *FleetShare) Heard(now time.Duration, zone string, live int) {
 	z := f.zones[zone]
 	if z == nil {
-		z = &zoneContact{lastHeard: now}
+		z = &zoneContact{lastHeard: now, counted: now}
 		f.zones[zone] = z
 	}
 	z.live, z.liveAt = live, now
@@ -69,8 +70,9 @@
 }
 
 func (f *FleetShare) contact(now time.Duration, z *zoneContact) {
-	f.count(now, &z.lastHeard, z.live)
+	f.count(now, &z.counted, z.live)
 	f.count(now, &f.selfUntil, 1)
+	z.lastHeard = max(z.lastHeard, now)
 	f.lastHeard = max(f.lastHeard, now)
 }
 
@@ -81,6 +83,15 @@
 	*last = max(*last, now)
 }
 
+// Forfeit gives up the credit for the time before now that has not been counted
+// yet. A node that takes over keys must not count the time of the owner before.
+func (f *FleetShare) Forfeit(now time.Duration) {
+	for _, z := range f.zones {
+		z.counted = max(z.counted, now)
+	}
+	f.selfUntil = max(f.selfUntil, now)
+}
+
 // Isolated reports whether the node is alone or has heard no other node for so
 // long that none counts it any more.
 func (f *FleetShare) Isolated(now time.Duration) bool {
--- a/limits/quota.go
+++ b/limits/quota.go
@@ -85,7 +85,7 @@
 	suspectAfter = 250 * time.Millisecond
 	suspectAsks  = 3
 	// shortRetry is the longest time for which a request waits for a token that
-	// the owner expects, instead of being refused.
+	// the owner expects, instead of being refused. It waits so once.
 	shortRetry = 250 * time.Millisecond
 	// maxDry is the longest time for which a node refuses the requests of a
 	// customer over its quota without asking the owner again.
@@ -282,7 +282,13 @@
 // disown empties the buckets of this node.
 func (l *Quotas) disown(now time.Duration) {
 	clear(l.buckets)
+	l.ownFromNow(now)
+}
+
+// ownFromNow lets the buckets of further keys start empty.
+func (l *Quotas) ownFromNow(now time.Duration) {
 	l.ownedSince = l.credit(now)
+	l.share.Forfeit(now)
 }
 
 func (l *Quotas) credit(now time.Duration) float64 { return l.share.Credit(now) }
@@ -309,7 +315,7 @@
 		}
 	}
 	if lost {
-		l.ownedSince = l.credit(now)
+		l.ownFromNow(now)
 	}
 	if !gained {
 		return
@@ -581,7 +587,7 @@
 		case uint32(i) < g.Granted:
 			t.decide(QuotaDecision{Granted: true})
 		case t.canceled:
-		case retry <= shortRetry && now+retry < t.until:
+		case retry <= shortRetry && now+retry < t.until && !t.refused:
 			t.refused = true
 			back = append(back, t)
 		default:
--- /dev/null
+++ b/mesh/customer_test.go
@@ -0,0 +1,268 @@
+package mesh
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"hyssopbridge/admission"
+	"hyssopbridge/config/dynamic"
+	"hyssopbridge/internal/clock"
+	"hyssopbridge/internal/testutil"
+)
+
+// decodeCustomers reads a version number, the requests per second of a
+// customer's quota, which is also its burst, and the keys of customer "c".
+func decodeCustomers(raw []byte) (*dynamic.Config, error) {
+	fields := strings.Fields(string(raw))
+	version, err := strconv.ParseInt(fields[0], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	perSecond, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return nil, err
+	}
+	route := func(name string, public bool) dynamic.Route {
+		return dynamic.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Idempotent: true, Public: public, Timeout: 5 * time.Second,
+			Objective: 5 * time.Second, Attempts: 2, Shares: []dynamic.Share{{Service: testService, Weight: 1}},
+		}
+	}
+	customers := []dynamic.Customer{
+		{Name: "c", Keys: fields[2:], Quota: dynamic.Quota{PerSecond: perSecond, Burst: perSecond}},
+		{Name: "other", Keys: []string{"key of another"}},
+	}
+	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, customers, []dynamic.Route{route("read", false), route("public", true)})
+}
+
+func setCustomers(t *testing.T, n *Node, raw string) {
+	t.Helper()
+	if err := n.SetConfig([]byte(raw), "test"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a key that reaches a target or the log, a customer's name that
+// the caller chose, and a key that still works once a version has withdrawn it,
+// also on a connection that was in use before.
+func TestKeys(t *testing.T) {
+	g := startTarget(t, "t")
+	var customer, key atomic.Pointer[string]
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		name, leaked := r.Header.Get("X-Customer"), strings.Join(r.Header["X-Key"], ",")
+		customer.Store(&name)
+		key.Store(&leaked)
+		return respondOK(w, r)
+	})
+	var logged lockedBuffer
+	n := startNodeLogging(t, "z", g, text.New(&logged))
+	n.cfg.Decode = decodeCustomers
+	setCustomers(t, n, "1 0 secret")
+	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	request := func(path, key string) int {
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: %s\r\nX-Customer: forged\r\n\r\n", path, key)
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	expect := func(what string, status, want int, name string) {
+		t.Helper()
+		if status != want {
+			t.Errorf("%s: status %d, want %d", what, status, want)
+		}
+		if want == 200 && (*customer.Load() != name || *key.Load() != "") {
+			t.Errorf("%s: the target got customer %q and key %q, want %q", what, *customer.Load(), *key.Load(), name)
+		}
+	}
+	expect("known key", request("/read/1", "secret"), 200, "c")
+	expect("public route, no key", request("/public/1", ""), 200, "")
+	expect("public route, known key", request("/public/1", "secret"), 200, "c")
+	expect("unknown key", request("/read/1", "guess"), 401, "")
+	expect("no key", request("/read/1", ""), 401, "")
+	setCustomers(t, n, "2 0 another")
+	expect("withdrawn key", request("/read/1", "secret"), 401, "")
+	expect("new key", request("/read/1", "another"), 200, "c")
+	for _, s := range []string{"secret", "guess", "another"} {
+		if strings.Contains(logged.String(), s) {
+			t.Errorf("the log contains key %q", s)
+		}
+	}
+}
+
+// lockedBuffer is a buffer for concurrent writers.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Guards against a request that runs with a key that was withdrawn while the
+// request waited for a slot.
+func TestKeyWithdrawnInQueue(t *testing.T) {
+	g := startTarget(t, "t")
+	release := make(chan struct{})
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		return respondOK(w, r)
+	})
+	n := startNode(t, g)
+	n.cfg.Decode = decodeCustomers
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+	setCustomers(t, n, "1 0 secret")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "waiting", "X-Key", "secret"), 401, "") })
+	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+	setCustomers(t, n, "2 0 another")
+	close(release)
+	wait.Wait()
+	if g.runCount("waiting") != 0 {
+		t.Error("a request ran with a withdrawn key")
+	}
+}
+
+// Guards against status 401 for a key that another node's version holds.
+func TestNewKeyAtNodeBehind(t *testing.T) {
+	n := startNode(t, startTarget(t, "t"))
+	n.cfg.Decode = decodeCustomers
+	setCustomers(t, n, "1 0 secret")
+	q := addReader(n, "127.0.0.9:1", 0)
+	q.last.Version = 2
+	wantResponse(t, send(t, n, "/read/1", "1", "X-Key", "new"), 503, "")
+	wantResponse(t, send(t, n, "/read/1", "2", "X-Key", "secret"), 200, "")
+	q.last.Version = 1
+	wantResponse(t, send(t, n, "/read/1", "3", "X-Key", "new"), 401, "")
+}
+
+// Guards against a node that serves by an old version after a suspension, during
+// which a key was withdrawn.
+func TestKeyWithdrawnDuringSuspension(t *testing.T) {
+	var suspended atomic.Int64
+	g := startTarget(t, "t")
+	n := New(Config{
+		Zone: "z", CallerAddr: testutil.FreeAddr(t), NodeAddr: testutil.FreeAddr(t), GossipAddr: testutil.FreeAddr(t), Headers: testHeaders,
+		Decode: decodeCustomers, Log: &log.Logger{Handler: text.New(io.Discard), Level: log.InfoLevel}, Seed: 1,
+		Clock: func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) },
+	})
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.cancel(); n.nodeServer.http.Close(); n.callerServer.listener.Close() })
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 4, Phase: admission.Serving}, g.addr, false)
+	setCustomers(t, n, "1 0 secret")
+	other := startNode(t, nil)
+	other.cfg.Decode = decodeCustomers
+	connectNodes(t, n, other)
+	setCustomers(t, other, "1 0 secret")
+	wantResponse(t, send(t, n, "/read/1", "1", "X-Key", "secret"), 200, "")
+
+	// Datagrams are lost, so that only the confirmation can bring the version.
+	other.peers.mu.Lock()
+	clear(other.peers.byAddr)
+	other.peers.mu.Unlock()
+	setCustomers(t, other, "2 0 another")
+	suspended.Store(int64(10 * time.Second))
+	if got := send(t, n, "/read/1", "2", "X-Key", "secret"); got.status != 503 && got.status != 401 {
+		t.Errorf("status %d right after a suspension, want 503 or 401", got.status)
+	}
+	testutil.Eventually(t, "the version is confirmed", n.suspension.confirmed)
+	wantResponse(t, send(t, n, "/read/1", "3", "X-Key", "secret"), 401, "")
+	wantResponse(t, send(t, n, "/read/1", "4", "X-Key", "another"), 200, "")
+}
+
+// Guards against a quota that each node grants on its own, a refusal without the
+// time of the next token, and requests that are charged although they did not
+// run or carry no key.
+func TestQuotaOverNodes(t *testing.T) {
+	const perSecond = 20
+	var nodes []*Node
+	for range 3 {
+		n := startNode(t, startTarget(t, "t"))
+		n.cfg.Decode = decodeCustomers
+		nodes = append(nodes, n)
+	}
+	connectNodes(t, nodes...)
+	for _, n := range nodes {
+		n.SetQuotaPolicy(QuotaPolicy{Window: 5 * time.Second})
+		setCustomers(t, n, fmt.Sprint("1 ", perSecond, " secret"))
+		testutil.Eventually(t, "the node may own quotas", n.quotas.core.Ready)
+	}
+	wantResponse(t, send(t, nodes[0], "/public/1", "public"), 200, "")
+	if got := counterOf(nodes[0], metricQuotaGranted); got != 0 {
+		t.Errorf("%d requests without a key were charged", got)
+	}
+	start := time.Now()
+	var wait sync.WaitGroup
+	var admitted, refused atomic.Int64
+	for i := range 150 {
+		wait.Go(func() {
+			got := send(t, nodes[i%len(nodes)], "/read/1", fmt.Sprint("r", i), "X-Key", "secret")
+			retry, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			switch {
+			case got.status == 200:
+				admitted.Add(1)
+			case got.status == 429 && err == nil && retry > 0:
+				refused.Add(1)
+			default:
+				t.Errorf("status %d, Retry-After %q, error %v", got.status, got.header.Get("Retry-After"), got.err)
+			}
+		})
+	}
+	wait.Wait()
+	if most := perSecond * (1 + time.Since(start).Seconds()); float64(admitted.Load()) > most+1 || admitted.Load() == 0 {
+		t.Errorf("%d requests were admitted, at most %.0f are within the quota", admitted.Load(), most)
+	}
+	if refused.Load() == 0 {
+		t.Error("no request was refused")
+	}
+
+	for _, n := range nodes {
+		n.gate.Stop()
+	}
+	before := counterOf(nodes[1], metricQuotaRefunded)
+	testutil.Eventually(t, "a request within the quota is refused for want of a target", func() bool {
+		return send(t, nodes[1], "/read/1", "stopped", "X-Key", "secret", "X-Left", "200").status == 503
+	})
+	if after := counterOf(nodes[1], metricQuotaRefunded); after == before {
+		t.Error("a request that did not run was charged")
+	}
+}
+
+func counterOf(n *Node, metric string) int64 {
+	return gometrics.GetOrRegisterCounter(metric, n.metrics.registry).Count()
+}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -21,6 +21,7 @@
 	stopping      func() bool
 	behind        func(version int64) bool // whether another node has a newer configuration
 	quotas        *quotas
+	confirmed     func() bool // false after a suspension, until another node has confirmed the version
 	splitter      *dynamic.Splitter
 	outboundCalls *outboundCalls
 	log           *eventLog
@@ -71,6 +72,9 @@
 	if cfg == nil {
 		return nil, notRun(resultcode.NoConfiguration, "no configuration received yet")
 	}
+	if !e.confirmed() {
+		return nil, notRun(resultcode.StaleConfiguration, "process was suspended, and no other node has confirmed version %d since", cfg.Version)
+	}
 	route := cfg.Match(r.Host, r.URL.EscapedPath())
 	if route == nil && e.behind(cfg.Version) {
 		return nil, notRun(resultcode.StaleConfiguration, "version %d has no route for host %q and path %q, and another node has a newer version", cfg.Version, r.Host, r.URL.Path)
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -85,6 +85,10 @@
 	l.log.WithFields(log.Fields{"version": version, "source": source, "error": err.Error()}).Warn("configuration refused")
 }
 
+func (l *eventLog) suspended(gap time.Duration) {
+	l.log.WithField("gap_ms", gap.Milliseconds()).Warn("process was suspended, version is unconfirmed")
+}
+
 func (l *eventLog) peerChanged(addr, zone, event string, silent time.Duration) {
 	l.log.WithFields(log.Fields{"host": addr, "zone": zone, "silent_ms": silent.Milliseconds()}).Info(event)
 }
--- a/mesh/headers.go
+++ b/mesh/headers.go
@@ -27,4 +27,5 @@
 	headerResult      = "Hb-Result"  // result code of a response that is not the target's
 	headerRan         = "Hb-Ran"     // whether the request was run, sent with headerResult
 	headerConfig      = "Hb-Config"  // request for the configuration in force
+	headerConfigAfter = "Hb-After"   // version that the asking node has; the response is empty without a newer one
 )
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,7 @@
 	view         *placement.View
 	peers        *peers
 	quotas       *quotas
+	suspension   *suspension
 	hostNode     *hostNode
 	entryNode    *entryNode
 	remote       *nodeClient
@@ -102,6 +104,8 @@
 		send: n.peers.sendDatagram, metrics: n.metrics,
 	}
 	n.peers.quotas = n.quotas
+	n.suspension = &suspension{now: n.now, log: n.log, confirm: n.confirmVersion}
+	n.peers.suspension = n.suspension
 	n.buildDataPath()
 	return n
 }
@@ -121,7 +125,7 @@
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, confirmed: n.suspension.confirmed, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
 		outboundCalls: n.hostNode.outboundCalls, log: n.log, metrics: n.metrics,
 	}
 }
@@ -144,6 +148,7 @@
 		cancel()
 		return err
 	}
+	n.suspension.lastStep.Store(int64(n.now()))
 	go n.peers.run(ctx)
 	go n.closeIdle(ctx)
 	return nil
@@ -181,6 +186,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64); err == nil && c.Version <= after {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	_, _ = w.Write(c.raw) // a node that disconnected asks again
 }
 
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -102,6 +102,7 @@
 	readerChanged  chan struct{}
 
 	quotas     *quotas
+	suspension *suspension
 	liveInZone int  // other nodes of the own zone that were heard recently
 	ownsQuotas bool // the other nodes were told that this node may own quotas
 	// crossZoneDue is the number of heartbeats to other zones that are due, and
@@ -136,6 +137,7 @@
 			resend = nil
 			p.broadcast(ownZone)
 		case <-tick.C:
+			p.suspension.step()
 			p.sendHeartbeats()
 		}
 	}
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -166,17 +166,26 @@
 
 // fetchConfig fetches the configuration in force at another node.
 func (c *nodeClient) fetchConfig(ctx context.Context, addr string) ([]byte, error) {
+	return c.fetchNewerConfig(ctx, addr, 0)
+}
+
+// fetchNewerConfig fetches the configuration in force at another node. It is nil
+// if it is not newer than version.
+func (c *nodeClient) fetchNewerConfig(ctx context.Context, addr string, version int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, configFetchTimeout)
 	defer cancel()
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/"}, Host: addr,
-		Header: http.Header{"User-Agent": nil, headerConfig: {"1"}}, Body: http.NoBody,
+		Header: http.Header{"User-Agent": nil, headerConfig: {"1"}, headerConfigAfter: {formatVersion(version)}}, Body: http.NoBody,
 	}
 	httpResp, err := c.client.Do(ctx, addr, req, upstream.Options{})
 	if err != nil {
 		return nil, err
 	}
 	defer httpResp.Body.Close()
+	if httpResp.StatusCode == http.StatusNoContent {
+		return nil, nil
+	}
 	if httpResp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("node at %s responded to a configuration request with status %d", addr, httpResp.StatusCode)
 	}
