--- a/limits/quota.go
+++ b/limits/quota.go
@@ -21,6 +21,12 @@
 	Burst     float32
 	Refund    uint32 // earlier tokens whose requests did not run
 	RefundAge uint32 // age of the oldest of them, in ms
+	// Avoids is set if the sender has lost contact with a node that comes before
+	// the receiver. If the receiver has not, it relays the request.
+	Avoids bool
+	// Relayed is set if the request was received from another node. It is not
+	// relayed again.
+	Relayed bool
 }
 
 // QuotaGrant is the owner's answer to a QuotaRequest.
@@ -36,11 +42,14 @@
 	Owner    string
 }
 
-// QuotaMessage is a batch of requests for one node. Without requests it is a
-// probe, which any node answers with no grants.
+// QuotaMessage is a batch of requests for one node, or the answer to a request
+// that was relayed. Without either it is a probe, which any node answers with no
+// grants.
 type QuotaMessage struct {
 	To       string
 	Requests []QuotaRequest
+	Session  int64 // of the answer
+	Grants   []QuotaGrant
 }
 
 // MaxQuotaBatch is the maximum number of requests in one QuotaMessage. Both the
@@ -71,6 +80,7 @@
 	until    time.Duration
 	canceled bool
 	refused  bool // the owner had no token when it was last asked
+	relay    *quotaRelay
 }
 
 // Done returns a channel that receives the decision.
@@ -125,8 +135,10 @@
 	ownedSince float64
 	buckets    map[RateKey]*quotaBucket
 	entries    map[RateKey]*quotaEntry
+	relays     map[relayKey]*quotaRelay
 	seq        uint32
 	outbox     []QuotaMessage
+	retired    bool
 }
 
 type quotaPeer struct {
@@ -171,10 +183,19 @@
 	return &Quotas{
 		self: self, selfHash: xxhash.Sum64String(self), started: now, lastStep: now, policy: policy,
 		share: NewFleetShare(now, zone), nodes: map[string]*quotaPeer{},
-		buckets: map[RateKey]*quotaBucket{}, entries: map[RateKey]*quotaEntry{},
+		buckets: map[RateKey]*quotaBucket{}, entries: map[RateKey]*quotaEntry{}, relays: map[relayKey]*quotaRelay{},
 	}
 }
 
+// Retire lets this node give up its keys before its process ends. It still asks
+// for tokens.
+func (l *Quotas) Retire(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready, l.retired = false, true
+	l.disown(now)
+}
+
 // SetPolicy replaces the tolerance.
 func (l *Quotas) SetPolicy(p QuotaPolicy) {
 	l.mu.Lock()
@@ -250,6 +271,11 @@
 			delete(l.entries, key)
 		}
 	}
+	for key, r := range l.relays {
+		if now-r.at > answerMemory {
+			delete(l.relays, key)
+		}
+	}
 	s := l.supply(now)
 	for key, b := range l.buckets {
 		b.forgetAnswers(now)
@@ -273,7 +299,7 @@
 		l.disown(now)
 	}
 	l.lastStep = max(l.lastStep, now)
-	if !l.ready && ((now-l.started >= minReadyAge && l.share.lastHeard > l.started) || l.share.Isolated(now)) {
+	if !l.ready && !l.retired && ((now-l.started >= minReadyAge && l.share.lastHeard > l.started) || l.share.Isolated(now)) {
 		l.ready = true
 		l.disown(now)
 	}
@@ -417,6 +443,10 @@
 }
 
 func (t *QuotaTicket) decide(d QuotaDecision) {
+	if t.relay != nil {
+		t.relay.decided(d)
+		return
+	}
 	select {
 	case t.done <- d:
 	default: // decided before
@@ -459,6 +489,7 @@
 	e.pending = QuotaRequest{
 		Key: key, Seq: l.seq, Want: uint32(len(e.asked)), Version: e.version,
 		PerSecond: float32(e.rate.PerSecond), Burst: float32(e.rate.Burst), Refund: e.refund,
+		Avoids: owner != l.self && l.avoids(key, owner), Relayed: slices.ContainsFunc(e.asked, func(t *QuotaTicket) bool { return t.relay != nil }),
 	}
 	if owner == l.self {
 		l.setRefundAge(now, e)
@@ -468,6 +499,21 @@
 	l.send(now, e)
 }
 
+// avoids reports whether this node has lost contact with a node that comes
+// before the owner of the key.
+func (l *Quotas) avoids(key RateKey, owner string) bool {
+	if len(l.usable) == len(l.nodes) {
+		return false
+	}
+	best := mix(l.nodes[owner].hash ^ uint64(key))
+	for _, p := range l.nodes {
+		if !p.usable && p.ready() && mix(p.hash^uint64(key)) >= best {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUpPending gives up the pending request, whose node no longer owns the key.
 // Its refunds are not repeated, since the new owner starts with an empty bucket.
 func (l *Quotas) giveUpPending(e *quotaEntry) {
@@ -489,12 +535,12 @@
 	l.ask(now, e.to)
 	for i := range l.outbox {
 		m := &l.outbox[i]
-		if m.To == e.to && len(m.Requests) < MaxQuotaBatch {
+		if m.To == e.to && m.Grants == nil && len(m.Requests) < MaxQuotaBatch {
 			m.Requests = append(m.Requests, e.pending)
 			return
 		}
 	}
-	l.outbox = append(l.outbox, QuotaMessage{e.to, []QuotaRequest{e.pending}})
+	l.outbox = append(l.outbox, QuotaMessage{To: e.to, Requests: []QuotaRequest{e.pending}})
 }
 
 // ask records that a message is sent to a node.
@@ -619,7 +665,14 @@
 	grants := make([]QuotaGrant, 0, len(requests))
 	for i := range requests[:min(len(requests), MaxQuotaBatch)] {
 		req := &requests[i]
-		if owner := l.ownerOf(req.Key); owner != l.self {
+		owner := l.ownerOf(req.Key)
+		if owner != l.self && owner != "" && req.Avoids && !req.Relayed {
+			if g, ok := l.relay(now, from, session, req); ok {
+				grants = append(grants, g)
+			}
+			continue
+		}
+		if owner != l.self {
 			grants = append(grants, QuotaGrant{Key: req.Key, Seq: req.Seq, NotOwner: true, Owner: owner})
 			l.probe(now, owner)
 			continue
@@ -629,6 +682,79 @@
 	return grants
 }
 
+// quotaRelay is a request that this node passes on for a node that has lost
+// contact with the owner.
+type quotaRelay struct {
+	l         *Quotas
+	from      string
+	session   int64
+	at        time.Duration
+	left      uint32 // tickets without a decision
+	undecided bool
+	grant     QuotaGrant
+}
+
+type relayKey struct {
+	from string
+	key  RateKey
+}
+
+// relayWait is how long a relayed request waits for the owner.
+const relayWait = 400 * time.Millisecond
+
+// relay passes a request on to the owner. ok is false if the answer follows
+// later.
+func (l *Quotas) relay(now time.Duration, from string, session int64, req *QuotaRequest) (g QuotaGrant, ok bool) {
+	id := relayKey{from, req.Key}
+	r := l.relays[id]
+	if r == nil || r.session != session || req.Seq > r.grant.Seq {
+		r = &quotaRelay{l: l, from: from, session: session, at: now, left: req.Want, grant: QuotaGrant{Key: req.Key, Seq: req.Seq}}
+		l.relays[id] = r
+		e := l.entries[req.Key]
+		if e == nil {
+			e = &quotaEntry{rate: Rate{float64(req.PerSecond), float64(req.Burst)}, version: req.Version}
+			l.entries[req.Key] = e
+		}
+		e.lastUsed = now
+		for range min(req.Want, maxRelayed) {
+			e.queue = append(e.queue, &QuotaTicket{asked: now, until: now + relayWait, relay: r})
+		}
+		r.left = min(req.Want, maxRelayed)
+		for range req.Refund {
+			l.refund(now, req.Key, now-time.Duration(req.RefundAge)*time.Millisecond)
+		}
+	}
+	if e := l.entries[req.Key]; e != nil {
+		l.advance(now, req.Key, e) // also repeats the request to the owner
+	}
+	return r.grant, r.left == 0
+}
+
+// maxRelayed bounds the tokens of one relayed request.
+const maxRelayed = 1000
+
+// decided counts a decision of the owner, and answers the node after the last
+// one.
+func (r *quotaRelay) decided(d QuotaDecision) {
+	switch {
+	case d.Granted:
+		r.grant.Granted++
+	case d.Undecided:
+		r.undecided = true
+	default:
+		r.grant.RetryMS = max(r.grant.RetryMS, uint32(d.Retry.Milliseconds()), 1)
+	}
+	if r.left--; r.left > 0 {
+		return
+	}
+	if r.undecided && r.grant.Granted == 0 && r.grant.RetryMS == 0 {
+		r.grant.NotOwner = true
+	} else if r.undecided {
+		r.grant.RetryMS = max(r.grant.RetryMS, uint32(shortRetry.Milliseconds()))
+	}
+	r.l.outbox = append(r.l.outbox, QuotaMessage{To: r.from, Session: r.session, Grants: []QuotaGrant{r.grant}})
+}
+
 // probe checks a node that another node may have lost, unless it was heard just
 // now.
 func (l *Quotas) probe(now time.Duration, id string) {
@@ -665,6 +791,7 @@
 			rate: Rate{float64(req.PerSecond), float64(req.Burst)}, version: req.Version, credit: l.ownedSince,
 			answers: map[string]*quotaAnswer{}, slot: int64(now / refundSlot),
 		}
+		b.tokens = s.share * quotaStartShare * s.policy.tolerance(b.rate)
 		l.buckets[req.Key] = b
 	}
 	return b.answer(s, from, session, req)
--- a/limits/quota_test.go
+++ b/limits/quota_test.go
@@ -90,8 +90,17 @@
 				most := rapid.SampledFrom([]int64{2, 20, 300}).Draw(t, "delay")
 				f.delay = func() time.Duration { return time.Duration(1+f.rand.Int64N(most)) * time.Millisecond }
 			},
-			"cut off": func(t *rapid.T) { f.groups[node("node").index] = rapid.IntRange(0, 2).Draw(t, "group") },
-			"heal":    func(*rapid.T) { clear(f.groups) },
+			"cut off":  func(t *rapid.T) { f.groups[node("node").index] = rapid.IntRange(0, 2).Draw(t, "group") },
+			"cut pair": func(t *rapid.T) { f.cut[[2]int{node("from").index, node("to").index}] = true },
+			"heal": func(*rapid.T) {
+				clear(f.groups)
+				clear(f.cut)
+			},
+			"retire": func(t *rapid.T) {
+				n := node("node")
+				n.do(func() { n.quotas.Retire(f.now) })
+				f.at(f.now+2*time.Second, n.start)
+			},
 			"suspend": func(t *rapid.T) {
 				n := node("node")
 				n.frozen = true
@@ -116,6 +125,7 @@
 		f.loss = 0
 		f.delay = func() time.Duration { return time.Millisecond }
 		clear(f.groups)
+		clear(f.cut)
 		f.run(f.now + 25*time.Second)
 		from := f.now
 		for range int(0.5 * f.rate.PerSecond * 5) {
@@ -128,3 +138,152 @@
 		}
 	})
 }
+
+// Guards against a quota that nobody decides on where a node has lost contact
+// with the owner although others have not, and where the owner ends.
+func TestQuotaOwnerLost(t *testing.T) {
+	lose := map[string]func(f *quotaFleet, owner *quotaSimNode){
+		"owner cut off from a third of the nodes": func(f *quotaFleet, owner *quotaSimNode) {
+			for i := range f.nodes {
+				if i%3 == 0 && i != owner.index {
+					f.cut[[2]int{i, owner.index}] = true
+				}
+			}
+		},
+		"owner killed":  func(f *quotaFleet, owner *quotaSimNode) { owner.frozen = true },
+		"owner cut off": func(f *quotaFleet, owner *quotaSimNode) { f.groups[owner.index] = 1 },
+		"owner retired": func(f *quotaFleet, owner *quotaSimNode) { owner.quotas.Retire(f.now) },
+	}
+	for name, fault := range lose {
+		t.Run(name, func(t *testing.T) {
+			rate := Rate{PerSecond: 100, Burst: 100}
+			f := newQuotaFleet(24, 3, rate, 3)
+			f.run(10 * time.Second)
+			owner := f.byID(f.nodes[0].quotas.ownerOf(testKey))
+			fault(f, owner)
+			at := f.now
+			f.poisson(testKey, 0.6*rate.PerSecond, at+8*time.Second)
+			f.run(at + 10*time.Second)
+			admitted, refused, undecided := f.tally(testKey, at, time.Hour)
+			t.Logf("%d admitted, %d refused, %d undecided", admitted, refused, undecided)
+			late := 0
+			for _, r := range f.requests {
+				if r.node != owner && r.asked > at+1500*time.Millisecond && !r.decision.Granted {
+					late++
+				}
+			}
+			if late > 0 || f.excess(testKey) > 0 {
+				t.Errorf("%d requests within the quota were not admitted 1.5 s after the fault, %.0f above the bound", late, f.excess(testKey))
+			}
+		})
+	}
+}
+
+// saturate makes far more requests of a customer than its quota admits.
+func (f *quotaFleet) saturate(key RateKey, until time.Duration) {
+	f.poisson(key, 8*f.rate.PerSecond, until)
+}
+
+// Guards against owners that start with a full bucket, and against one that
+// grants what it had before it was suspended on top of what its successor
+// granted.
+func TestQuotaWhenOwnersChange(t *testing.T) {
+	rate := Rate{PerSecond: 100, Burst: 300}
+	check := func(name string, f *quotaFleet) {
+		if excess := f.excess(testKey); excess > 0 {
+			t.Errorf("%s: %.0f requests above the bound", name, excess)
+		}
+	}
+	f := newQuotaFleet(12, 2, rate, 5)
+	f.run(10 * time.Second)
+	f.saturate(testKey, f.now+6*time.Second)
+	for range 3 {
+		f.run(f.now + 1500*time.Millisecond)
+		for _, n := range f.nodes {
+			if !n.frozen {
+				f.byID(n.quotas.ownerOf(testKey)).frozen = true
+				break
+			}
+		}
+	}
+	f.run(f.now + 5*time.Second)
+	check("three owners killed", f)
+
+	f = newQuotaFleet(12, 2, rate, 6)
+	f.run(10 * time.Second)
+	owner := f.byID(f.nodes[0].quotas.ownerOf(testKey))
+	f.nodes[(owner.index+1)%12].request(testKey) // creates the bucket
+	f.run(f.now + time.Second)
+	owner.frozen = true
+	f.nodes[(owner.index+1)%12].request(testKey) // creates the successor's bucket
+	f.run(f.now + 4*time.Second)
+	f.saturate(testKey, f.now+3*time.Second)
+	f.run(f.now + 500*time.Millisecond)
+	owner.resume()
+	f.run(f.now + 6*time.Second)
+	check("owner suspended", f)
+}
+
+// Guards against credit for tokens that would have overflowed, and against
+// tokens that do not come back although they would not have.
+func TestQuotaRefund(t *testing.T) {
+	rate := Rate{PerSecond: 100, Burst: 300}
+	f := newQuotaFleet(1, 1, rate, 1)
+	f.run(20 * time.Second)
+	burst := func() (list []*quotaSimRequest) {
+		for range 1000 {
+			list = append(list, f.nodes[0].request(testKey))
+		}
+		f.run(f.now + 100*time.Millisecond)
+		return list
+	}
+	admitted := func(list []*quotaSimRequest) (n int) {
+		for _, r := range list {
+			if r.decision.Granted {
+				n++
+			}
+		}
+		return n
+	}
+	first := burst()
+	f.run(f.now + 4*time.Second) // the bucket is full again
+	second := burst()
+	for _, r := range first {
+		r.refund()
+	}
+	third := burst()
+	if n := admitted(third); n > 50 {
+		t.Errorf("%d requests were admitted by credit for tokens that would have overflowed", n)
+	}
+	f.run(f.now + 2*time.Second)
+	fourth := burst()
+	f.run(f.now + time.Second)
+	for _, r := range fourth {
+		r.refund()
+	}
+	if given, n := admitted(fourth), admitted(burst()); n < given+50 {
+		t.Errorf("%d requests were admitted after %d tokens were credited back and the bucket was filled for a second", n, given)
+	}
+	if excess := f.excess(testKey); excess > 0 || admitted(second) < 300 {
+		t.Errorf("%.0f requests above the bound, %d of a full bucket admitted", excess, admitted(second))
+	}
+}
+
+// Guards against a process that goes on with the tokens that it had before it
+// was suspended.
+func TestQuotaAfterSuspension(t *testing.T) {
+	rate := Rate{PerSecond: 100, Burst: 300}
+	f := newQuotaFleet(1, 1, rate, 1)
+	f.run(20 * time.Second)
+	n := f.nodes[0]
+	n.request(testKey)
+	f.run(f.now + time.Second)
+	f.now += 5 * time.Second // without a step
+	from := f.now
+	for range 400 {
+		n.request(testKey)
+	}
+	if admitted, _, _ := f.tally(testKey, from, time.Hour); float64(admitted) > quotaStartShare*f.policy.tolerance(rate) {
+		t.Errorf("%d requests were admitted right after a suspension", admitted)
+	}
+}
--- a/limits/quotafleet_test.go
+++ b/limits/quotafleet_test.go
@@ -28,7 +28,8 @@
 
 	loss   float64
 	delay  func() time.Duration
-	groups []int // nodes of different groups cannot reach each other
+	groups []int           // nodes of different groups cannot reach each other
+	cut    map[[2]int]bool // pairs of nodes that cannot reach each other
 
 	requests []*quotaSimRequest
 	messages int // quota messages, without heartbeats
@@ -108,7 +109,7 @@
 )
 
 func newQuotaFleet(nodes, zones int, rate Rate, seed uint64) *quotaFleet {
-	f := &quotaFleet{rand: rand.New(rand.NewPCG(seed, 7)), rate: rate, rateAt: 1, rates: []simRate{{0, rate}}, policy: platformPolicy, groups: make([]int, nodes)}
+	f := &quotaFleet{rand: rand.New(rand.NewPCG(seed, 7)), rate: rate, rateAt: 1, rates: []simRate{{0, rate}}, policy: platformPolicy, groups: make([]int, nodes), cut: map[[2]int]bool{}}
 	f.delay = func() time.Duration {
 		return time.Millisecond + time.Duration(f.rand.Int64N(int64(2*time.Millisecond)))
 	}
@@ -264,7 +265,7 @@
 }
 
 func (f *quotaFleet) transmit(from, to *quotaSimNode, receive func()) {
-	if f.groups[from.index] != f.groups[to.index] {
+	if f.groups[from.index] != f.groups[to.index] || f.cut[[2]int{from.index, to.index}] || f.cut[[2]int{to.index, from.index}] {
 		return
 	}
 	copies := 1
@@ -287,6 +288,17 @@
 	f := n.fleet
 	for _, m := range n.quotas.Messages() {
 		to := f.byID(m.To)
+		if m.Grants != nil {
+			f.count(m.Grants)
+			f.transmit(n, to, func() {
+				if to.session == m.Session {
+					to.quotas.HandleGrants(f.now, n.id, true, m.Grants)
+					to.flush()
+					to.collect()
+				}
+			})
+			continue
+		}
 		f.count(m.Requests)
 		session := n.session
 		f.transmit(n, to, func() {
--- a/limits/quotaowner.go
+++ b/limits/quotaowner.go
@@ -20,8 +20,16 @@
 // sizes of the fleet and owners that differ between nodes for a moment.
 const quotaMarginShare = 0.25
 
-func (p QuotaPolicy) margin(r Rate) float64 {
-	return quotaMarginShare * (p.Over*(r.PerSecond*p.Window.Seconds()+r.Burst) + p.Slack)
+// quotaStartShare is the fraction of the tolerance that a new owner may grant at
+// once. Without it, requests within the quota that arrive close to each other
+// would be refused after each change of owner. The tolerance has room for
+// several changes in one window.
+const quotaStartShare = 0.1
+
+func (p QuotaPolicy) margin(r Rate) float64 { return quotaMarginShare * p.tolerance(r) }
+
+func (p QuotaPolicy) tolerance(r Rate) float64 {
+	return p.Over*(r.PerSecond*p.Window.Seconds()+r.Burst) + p.Slack
 }
 
 const (
@@ -29,9 +37,6 @@
 	// refundSlots periods of refundSlot. Older tokens are not credited back.
 	refundSlots = 128
 	refundSlot  = 250 * time.Millisecond
-	// refundDelay is added to the age of a token that is credited back, for the
-	// time that the message took.
-	refundDelay = refundSlot
 	// answerMemory is how long an owner remembers its latest answer to a node, so
 	// that a repeated request gets it again.
 	answerMemory = 10 * time.Second
@@ -102,13 +107,13 @@
 
 // refund credits tokens back whose requests did not run. The bucket gets what it
 // would hold if they had never been taken: nothing of what would have
-// overflowed since.
+// overflowed since the end of the slot in which they were.
 func (b *quotaBucket) refund(s supply, tokens float64, age time.Duration) {
-	from := int64(max(0, s.now-age-refundDelay) / refundSlot)
+	from := int64(max(0, s.now-age)/refundSlot) + 1
 	if b.slot-from >= refundSlots {
 		return
 	}
-	most := 0.0
+	most := b.tokens
 	for slot := from; slot <= b.slot; slot++ {
 		most = max(most, b.highest[slot%refundSlots])
 	}
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -22,6 +22,9 @@
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
 	m.count(metricForeignAnswers)
+	m.count(metricQuotaGranted)
+	m.count(metricQuotaRefunded)
+	m.count(metricQuotaSent)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -322,6 +322,7 @@
 // flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
+	n.quotas.core.Retire(n.now())
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -138,6 +138,10 @@
 		if err != nil {
 			continue // not an address that this node has learned from a datagram
 		}
+		if m.Grants != nil {
+			q.transmit(quotaMessage{Answer: true, Session: m.Session, Grants: m.Grants}, to)
+			continue
+		}
 		q.metrics.count(metricQuotaSent)
 		q.transmit(quotaMessage{Session: q.session, Requests: m.Requests}, to)
 	}
