--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -27,6 +27,9 @@
 	m.count(metricMemoryRefused)
 	m.count(metricConnLimit + ".callers_closed")
 	m.count(metricBudgetWaits + budgetWaitSent)
+	m.count(metricQuotaGranted)
+	m.count(metricQuotaRefunded)
+	m.count(metricQuotaSent)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,7 @@
 	view         *placement.View
 	peers        *peers
 	quotas       *quotas
+	suspension   *suspension
 	hostNode     *hostNode
 	entryNode    *entryNode
 	remote       *nodeClient
@@ -108,6 +110,8 @@
 	}
 	n.peers.quotas = n.quotas
 	n.waiting, n.endWaiting = context.WithCancel(context.Background())
+	n.suspension = &suspension{now: n.now, log: n.log, confirm: n.confirmVersion}
+	n.peers.suspension = n.suspension
 	n.buildDataPath()
 	return n
 }
@@ -136,7 +140,7 @@
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, confirmed: n.suspension.confirmed, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
 		outboundCalls: n.hostNode.outboundCalls, resources: n.resources, log: n.log, metrics: n.metrics,
 	}
 }
@@ -159,6 +163,7 @@
 		cancel()
 		return err
 	}
+	n.suspension.lastStep.Store(int64(n.now()))
 	go n.peers.run(ctx)
 	go n.closeIdle(ctx)
 	return nil
@@ -197,6 +202,10 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64); err == nil && c.Version <= after {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	_, _ = w.Write(c.raw) // a node that disconnected asks again
 }
 
@@ -323,6 +332,7 @@
 // requests that still wait for a target, and lets those in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
+	n.quotas.core.Retire(n.now())
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
