--- a/mesh/refused_test.go
+++ b/mesh/refused_test.go
@@ -106,6 +106,8 @@
 			t.Error("the refusal was forgotten before its connection became too old to be reused")
 		}
 		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		if len(r.ids) > 0 {
 			t.Errorf("%d refusals are kept", len(r.ids))
 		}
