mesh: a reader that gives up beside another one is not missed

Where too many nodes of a zone started to read, those that give up woke the rest of the zone as if a reader were lost.

--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -76,9 +76,14 @@
 
 // noteReplacedReader notes that a reader of the own zone has given up, as one
 // does that cannot reach the source, or has been replaced by a process that does
-// not read.
+// not read. A reader that gives up while the zone has another one is not missed:
+// there were too many.
 func (p *peers) noteReplacedReader(q *peer, msg heartbeat) {
-	if !isReaderOf(q, p.identity().Zone) || msg.Flags&flagConfigReader != 0 {
+	zone := p.identity().Zone
+	if !isReaderOf(q, zone) || msg.Flags&flagConfigReader != 0 {
+		return
+	}
+	if msg.Started == q.last.Started && p.hasOtherReader(q, zone) {
 		return
 	}
 	p.readerReplaced = p.now()
@@ -155,6 +160,17 @@
 	return false
 }
 
+// hasOtherReader reports whether a peer other than q reads the configuration in
+// the zone. p.mu must be held.
+func (p *peers) hasOtherReader(q *peer, zone string) bool {
+	for _, other := range p.byAddr {
+		if other != q && p.isConfigReader(other, zone) {
+			return true
+		}
+	}
+	return false
+}
+
 func countTrue(m map[string]bool) int {
 	n := 0
 	for _, v := range m {
--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -74,10 +74,15 @@
 	clock := time.Minute
 	n := New(Config{Zone: "z", NodeAddr: "127.0.0.2:1", GossipAddr: "127.0.0.2:2", Clock: func() time.Duration { return clock }})
 	clock += time.Second
-	q := addReader(n, "127.0.0.1:1", flagStandby)
+	q, other := addReader(n, "127.0.0.1:1", flagStandby), addReader(n, "127.0.0.3:1", flagStandby)
 	msg := q.last
 	msg.Flags = 0
 	n.peers.noteReplacedReader(q, msg)
+	if _, lost := n.LostConfigReader(); lost {
+		t.Error("a reader that gave up is missed although the zone has another one")
+	}
+	other.last.Flags = 0
+	n.peers.noteReplacedReader(q, msg)
 	q.last = msg
 	if _, lost := n.LostConfigReader(); !lost {
 		t.Error("the reader that gave up is not missed")
