limits: a node without others keeps its quotas until it ends

Cause: a node that is told to stop gave up its keys also where no other node could own them, so its last requests were refused. TestNewKeyAtNodeBehind wrote to the table of peers of a running node without its lock (-race).

Measured: go test -race ./mesh -run 'Quota|TestKey|TestNewKey|Suspension|Peer| Standby|Reader' passes; go test ./limits -run TestQuota passes.

--- a/limits/quota.go
+++ b/limits/quota.go
@@ -187,11 +187,14 @@
 	}
 }
 
-// Retire lets this node give up its keys before its process ends. It still asks
-// for tokens.
+// Retire lets this node give up its keys before its process ends, unless there
+// is no other node. It still asks for tokens.
 func (l *Quotas) Retire(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.usable) == 0 {
+		return
+	}
 	l.ready, l.retired = false, true
 	l.disown(now)
 }
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -161,11 +161,15 @@
 	n := startNode(t, startTarget(t, "t"))
 	n.cfg.Decode = decodeCustomers
 	setCustomers(t, n, "1 0 secret")
-	q := addReader(n, "127.0.0.9:1", 0)
-	q.last.Version = 2
+	announce := func(version int64) {
+		n.peers.mu.Lock()
+		defer n.peers.mu.Unlock()
+		addReader(n, "127.0.0.9:1", 0).last.Version = version
+	}
+	announce(2)
 	wantResponse(t, send(t, n, "/read/1", "1", "X-Key", "new"), 503, "")
 	wantResponse(t, send(t, n, "/read/1", "2", "X-Key", "secret"), 200, "")
-	q.last.Version = 1
+	announce(1)
 	wantResponse(t, send(t, n, "/read/1", "3", "X-Key", "new"), 401, "")
 }
 
