queues: estimates without the share of urgent requests, short waits of retries

Cause: the expected wait counted more urgent arrivals twice, as a rate and in the learned ratio of actual to expected waits, and refused requests that had room. A retry is counted by the budget when it asks for a slot, and could reach its target many seconds later, in another window.

Change: only the learned ratio; a retry waits by its objective only.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -33,7 +33,7 @@
 	w.late = false
 	for len(evicted) < maxEvictions {
 		until := len(q.waiters)
-		if at := q.place(w); q.wait(at, w.req.Priority, p) > w.due()-now {
+		if at := q.place(w); q.wait(at, p) > w.due()-now {
 			until = at // its own start is too late, so a place before it has to become free
 		}
 		i := q.mostOverShare(w, until)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -305,7 +305,6 @@
 
 func (g *Gate) grant(req Request) *Reservation {
 	g.observeLoad()
-	g.queue.meter.start(req.Priority)
 	g.running++
 	g.lastRequest = g.now()
 	r := &Reservation{gate: g, detector: g.detector, zone: req.Zone, start: g.now(), overdueAfter: req.OverdueAfter}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -87,7 +87,7 @@
 		}
 	}
 	q.insert(w, at)
-	w.stated = q.wait(at, w.req.Priority, p)
+	w.stated = q.wait(at, p)
 	return true
 }
 
@@ -111,21 +111,17 @@
 	return w.due() < x.due()
 }
 
-// wait estimates the wait of a request at an index of the line. Requests of
-// higher priority that arrive meanwhile take their part of the starts.
-func (q *queue) wait(at, priority int, p pace) time.Duration {
-	share := max(minOwnShare, 1-q.meter.rateBefore(priority)*p.perPlace.Seconds())
-	return time.Duration(q.bias * float64(p.perPlace) * float64(at+1) / share)
+// wait estimates the wait of a request at an index of the line. More urgent
+// requests that arrive meanwhile are not foreseen; what they usually add is part
+// of bias.
+func (q *queue) wait(at int, p pace) time.Duration {
+	return time.Duration(q.bias * float64(p.perPlace) * float64(at+1))
 }
 
-// minOwnShare is the least fraction of the starts that the estimate leaves to a
-// priority, however many more urgent requests there were lately.
-const minOwnShare = 0.1
-
 // fits reports whether the request would start in time at the index, and no
 // promise to those behind it that holds now would be broken.
 func (q *queue) fits(w *waiter, at int, now time.Duration, p pace) bool {
-	if q.wait(at, w.req.Priority, p) > w.due()-now {
+	if q.wait(at, p) > w.due()-now {
 		return false
 	}
 	if w.req.LostPlace {
@@ -133,7 +129,7 @@
 	}
 	for i := at; i < len(q.waiters) && q.waiters[i].req.Priority == w.req.Priority; i++ {
 		left := q.waiters[i].due() - now
-		if q.wait(i, w.req.Priority, p) <= left && q.wait(i+1, w.req.Priority, p) > left {
+		if q.wait(i, p) <= left && q.wait(i+1, p) > left {
 			return false
 		}
 	}
@@ -201,17 +197,11 @@
 }
 
 // loadMeter learns how much of a target's capacity is in use, over about as long
-// as requests may wait, and how many requests of each priority start.
+// as requests may wait.
 type loadMeter struct {
 	at      time.Duration
 	horizon time.Duration // longest recent Request.MaxWait
 	inUse   float64       // mean fraction of slots in use
-	starts  []priorityRate
-}
-
-type priorityRate struct {
-	priority  int
-	perSecond float64
 }
 
 const (
@@ -223,8 +213,6 @@
 	// minHorizon bounds the learned horizon from below, so that a few short
 	// requests do not make the mean follow every one of them.
 	minHorizon = time.Second
-	// maxPriorities bounds the priorities that are told apart.
-	maxPriorities = 64
 )
 
 func newLoadMeter() loadMeter { return loadMeter{inUse: initialInUse, horizon: minHorizon} }
@@ -234,37 +222,9 @@
 func (m *loadMeter) observe(now time.Duration, inUse float64) {
 	kept := math.Exp(-float64(now-m.at) / float64(m.horizon))
 	m.inUse = kept*m.inUse + (1-kept)*min(1, inUse)
-	for i := range m.starts {
-		m.starts[i].perSecond *= kept
-	}
 	m.at = now
 }
 
 func (m *loadMeter) observeWait(maxWait time.Duration) {
 	m.horizon = max(minHorizon, maxWait, time.Duration(horizonDecay*float64(m.horizon)))
 }
-
-// start counts the start of a request at the time of the last observe.
-func (m *loadMeter) start(priority int) {
-	weight := 1 / m.horizon.Seconds()
-	for i := range m.starts {
-		if m.starts[i].priority == priority {
-			m.starts[i].perSecond += weight
-			return
-		}
-	}
-	if len(m.starts) < maxPriorities {
-		m.starts = append(m.starts, priorityRate{priority, weight})
-	}
-}
-
-// rateBefore returns how many requests of higher priority start a second.
-func (m *loadMeter) rateBefore(priority int) float64 {
-	sum := 0.0
-	for _, s := range m.starts {
-		if s.priority < priority {
-			sum += s.perSecond
-		}
-	}
-	return sum
-}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -222,6 +222,10 @@
 	req := c.reservationRequest(cand, round)
 	req.GoodWait = max(0, c.goodWait(), c.nestedWait())
 	req.MaxWait = max(c.usefulWait(), 0)
+	if req.Retry {
+		// The retry budget counts it when it asks, so it must reach the target soon.
+		req.MaxWait = min(req.MaxWait, req.GoodWait)
+	}
 	req.LostPlace = c.lostPlace
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
