--- a/admission/gate.go
+++ b/admission/gate.go
@@ -72,7 +72,7 @@
 	Idempotent bool   // may run more than once, so it may serve as a trial request
 	NoRetry    bool   // idempotent, but could not be retried after a failure, so it is no trial request
 	Retry      bool   // a retry or hedge: an earlier attempt reached a target
-	NotRun     bool   // it is proven that no earlier attempt ran
+	Urgent     bool   // a retry of a request that has not run and can still be in time
 	// CalledByRetry is the probability that the request was made by a run of
 	// another request that was itself a retry or hedge.
 	CalledByRetry float64
@@ -88,22 +88,22 @@
 
 // Status is what a host node reports to other nodes about its target.
 type Status struct {
-	Target        string
-	Service       string
-	Phase         Phase
-	Stopping      bool // the node accepts no new requests
-	Ejected       bool
-	Recovering    bool // ejected, but the newest trial request succeeded
-	Cold          bool // in its cold start
-	Slots         int
-	Running       int
-	Waiting       int
-	TrialIn       time.Duration // time until the next trial request is due, if Ejected
-	Tested        bool          // a request has succeeded since the target became known
-	Risk          float64       // probability that a request sent now fails because of a gray failure
-	Idle          time.Duration // time since the target got its newest request
-	AdmitsRetries bool          // a retry would be admitted
-	AdmitsResends bool          // a retry of a request that has not run would be admitted
+	Target              string
+	Service             string
+	Phase               Phase
+	Stopping            bool // the node accepts no new requests
+	Ejected             bool
+	Recovering          bool // ejected, but the newest trial request succeeded
+	Cold                bool // in its cold start
+	Slots               int
+	Running             int
+	Waiting             int
+	TrialIn             time.Duration // time until the next trial request is due, if Ejected
+	Tested              bool          // a request has succeeded since the target became known
+	Risk                float64       // probability that a request sent now fails because of a gray failure
+	Idle                time.Duration // time since the target got its newest request
+	AdmitsRetries       bool          // a retry would be admitted
+	AdmitsUrgentRetries bool          // the same for Request.Urgent
 	// RetryCalls is the number of calls in a window of the retry budget that
 	// retried runs of other services may make to the target.
 	RetryCalls float64
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -19,12 +19,13 @@
 	// budgetShare is the fraction of the service's allowance that host nodes
 	// grant. The rest covers requests that are counted in another window than
 	// their retries, and the random rounding of each host's allowance.
-	budgetShare = 0.6
-	// orderShare is the fraction up to which retries of requests that have not
-	// run may use the allowance, as all retries of non-idempotent requests do:
-	// without one they are refused. A retry or hedge of an idempotent request
-	// that may have run often only saves time.
-	orderShare = 0.85
+	budgetShare = 0.7
+	// urgentShare is the fraction up to which retries of requests that have not
+	// run and can still be in time may use the allowance: without one they are
+	// late or refused. A hedge often only saves time, and a late response is worth
+	// less; late requests at one node must not take the budget from those at
+	// another that can be in time.
+	urgentShare = 0.85
 	// nestedCallShare is the fraction up to which retries and the calls that
 	// retried runs make may use the allowance together, and maxCallShare the
 	// fraction up to which such calls alone may. directShare is the fraction
@@ -106,20 +107,19 @@
 
 // admitRetry reports whether the allowance permits a retry, and counts it if so.
 func (b *budget) admitRetry(r admission.Request) bool {
-	if !b.hasRoom(r.NotRun || !r.Idempotent) || !b.calls.admit(runSource(r.Idempotent)) {
+	if !b.hasRoom(r.Urgent) || !b.calls.admit(runSource(r.Idempotent)) {
 		return false
 	}
 	b.spend(1)
 	return true
 }
 
-// hasRoom reports whether the allowance permits a retry. notRun tells that it
-// is proven that no earlier attempt ran.
-func (b *budget) hasRoom(notRun bool) bool {
+// hasRoom reports whether the allowance permits a retry.
+func (b *budget) hasRoom(urgent bool) bool {
 	now := b.now()
 	share := budgetShare
-	if notRun {
-		share = orderShare
+	if urgent {
+		share = urgentShare
 	}
 	return b.remaining(b.window, share, now) >= 1 || b.remaining(b.direct, directShare, now) >= 1 && b.remaining(b.window, mostShare, now) >= 1
 }
@@ -139,7 +139,7 @@
 func (b *budget) describe(s *admission.Status) {
 	b.configure()
 	s.AdmitsRetries = b.hasRoom(false) && b.calls.admits(idempotentRuns)
-	s.AdmitsResends = b.hasRoom(true) && (b.calls.admits(idempotentRuns) || b.calls.admits(nonIdempotentRuns))
+	s.AdmitsUrgentRetries = b.hasRoom(true) && (b.calls.admits(idempotentRuns) || b.calls.admits(nonIdempotentRuns))
 	s.RetryCalls = b.retryCalls()
 }
 
--- a/mesh/budgetwait.go
+++ b/mesh/budgetwait.go
@@ -219,11 +219,11 @@
 	return q.window.RemainingAt(now, until) + windows*q.window.Allowance(now) - q.usedByOthers
 }
 
-// configure sets the part of the allowance that this node probably gets: by its
-// requests, and equal parts of the slack.
+// configure sets the part of the allowance that this node probably gets for late
+// requests: by its requests, and equal parts of the slack.
 func (b *budgetQueues) configure(q *budgetQueue) {
 	p := b.policy()
-	q.window.Configure(orderShare*p.Ratio, orderShare*p.Slack/float64(max(1, b.nodes())))
+	q.window.Configure(budgetShare*p.Ratio, budgetShare*p.Slack/float64(max(1, b.nodes())))
 }
 
 func (b *budgetQueues) queue(service string) *budgetQueue {
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -36,7 +36,7 @@
 	flagRecovering
 	flagTested
 	flagAdmitsRetries
-	flagAdmitsResends
+	flagAdmitsUrgentRetries
 )
 
 // wireReservation is the wire form of admission.Request. Times are in
@@ -63,7 +63,7 @@
 	flagAllowUntested
 	flagNoRetry
 	flagRetry
-	flagNotRun
+	flagUrgent
 )
 
 // heartbeat is the datagram in which a node sends its state.
@@ -105,7 +105,7 @@
 func encodeStatus(s admission.Status) wireStatus {
 	return wireStatus{
 		Target: s.Target, Service: s.Service, Phase: uint8(s.Phase),
-		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries) | flagIf(s.AdmitsResends, flagAdmitsResends),
+		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries) | flagIf(s.AdmitsUrgentRetries, flagAdmitsUrgentRetries),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		TrialIn: s.TrialIn.Milliseconds(), Idle: s.Idle.Milliseconds(),
 		Risk: toThousandths(s.Risk), RetryCalls: int64(math.Round(10 * s.RetryCalls)),
@@ -119,7 +119,7 @@
 	return admission.Status{
 		Target: w.Target, Service: w.Service, Phase: admission.Phase(w.Phase),
 		Stopping: w.Flags&flagStopping != 0, Ejected: w.Flags&flagEjected != 0, Cold: w.Flags&flagCold != 0, Recovering: w.Flags&flagRecovering != 0,
-		Tested: w.Flags&flagTested != 0, AdmitsRetries: w.Flags&flagAdmitsRetries != 0, AdmitsResends: w.Flags&flagAdmitsResends != 0,
+		Tested: w.Flags&flagTested != 0, AdmitsRetries: w.Flags&flagAdmitsRetries != 0, AdmitsUrgentRetries: w.Flags&flagAdmitsUrgentRetries != 0,
 		Slots: w.Slots, Running: w.Running, Waiting: w.Waiting,
 		TrialIn: time.Duration(w.TrialIn) * time.Millisecond,
 		Idle:    time.Duration(w.Idle) * time.Millisecond,
@@ -130,7 +130,7 @@
 func encodeReservation(r admission.Request) wireReservation {
 	return wireReservation{
 		Target: r.Target, Service: r.Service, Zone: r.Zone, Priority: r.Priority,
-		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry) | flagIf(r.NotRun, flagNotRun),
+		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry) | flagIf(r.Urgent, flagUrgent),
 		MaxWait: r.MaxWait.Milliseconds(), Overdue: r.OverdueAfter.Milliseconds(),
 		MaxRisk: toThousandths(r.MaxRisk), CalledByRetry: toThousandths(r.CalledByRetry), Customer: r.Customer,
 	}
@@ -140,7 +140,7 @@
 	return admission.Request{
 		Target: w.Target, Service: w.Service, Zone: w.Zone, Priority: w.Priority,
 		Idempotent: w.Flags&flagIdempotent != 0, LastResort: w.Flags&flagLastResort != 0,
-		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0, NotRun: w.Flags&flagNotRun != 0,
+		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0, Urgent: w.Flags&flagUrgent != 0,
 		MaxWait: time.Duration(w.MaxWait) * time.Millisecond, OverdueAfter: time.Duration(w.Overdue) * time.Millisecond,
 		MaxRisk: float64(w.MaxRisk) / 1000, CalledByRetry: float64(w.CalledByRetry) / 1000, Customer: w.Customer,
 	}
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -57,7 +57,7 @@
 // request since the last attempt. A request whose attempt took long still gets
 // c.retryRounds rounds.
 func (c *call) reserveTarget() (reservedTarget, error) {
-	if c.mayAwaitBudget() && c.d.budgetQueues.waiting(c.service) {
+	if c.mayAwaitBudget() && !c.isUrgentRetry() && c.d.budgetQueues.waiting(c.service) {
 		return c.awaitedTarget()
 	}
 	for round := 0; ; round++ {
@@ -129,8 +129,11 @@
 	return min(max(objective-runsLeftAfterWait*runTime, least), most)
 }
 
-// hasNotRun reports whether it is proven that no target has run the request.
-func (c *call) hasNotRun() bool { return len(c.tried) == 0 }
+// isUrgentRetry reports whether the next attempt is a retry of a request that
+// provably has not run and can still be in time.
+func (c *call) isUrgentRetry() bool {
+	return c.delivered > 0 && len(c.tried) == 0 && time.Since(c.start)+c.d.latencies.expected(c.route) < c.route.Objective
+}
 
 func (c *call) endedError() error {
 	if errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
@@ -212,7 +215,7 @@
 // rankedHosts returns all host nodes of the service, best first for a round.
 func (c *call) rankedHosts(round int) []placement.Candidate {
 	return c.d.view.Rank(placement.Request{
-		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, NotRun: c.hasNotRun(), MaxRisk: c.maxRisk(round),
+		Service: c.service, Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), Retry: c.delivered > 0, Urgent: c.isUrgentRetry(), MaxRisk: c.maxRisk(round),
 		Download: c.route.Download, Tried: append(slices.Clone(c.tried), c.outOfBudget...),
 	})
 }
@@ -261,7 +264,7 @@
 	r := admission.Request{
 		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
-		Retry: c.delivered > 0, NotRun: c.hasNotRun(), CalledByRetry: c.q.fromRetryProb,
+		Retry: c.delivered > 0, Urgent: c.isUrgentRetry(), CalledByRetry: c.q.fromRetryProb,
 		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
 	}
 	if round > 1 && cand.RecentlyRefused {
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -15,7 +15,7 @@
 	NoRetry    bool     // idempotent, but could not be retried after a failure, so it is no trial request
 	Download   bool     // the response is large, so traffic between availability zones matters
 	Retry      bool     // an earlier attempt reached a target
-	NotRun     bool     // it is proven that no earlier attempt ran
+	Urgent     bool     // a retry of a request that has not run and can still be in time
 	MaxRisk    float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
 	Tried      []string // addresses of the hosts that are excluded
 	testIdle   bool     // many targets are idle, so non-idempotent requests test them too
@@ -166,7 +166,7 @@
 	age := now - h.statusAt
 	c := Candidate{
 		Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil,
-		OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.NotRun && s.AdmitsResends,
+		OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.Urgent && s.AdmitsUrgentRetries,
 	}
 	trial := s.Ejected && v.isTrial(h, r, age, now)
 	c.LastResort = s.Ejected && !trial
