limits: open the connections of a test one after the other

TestConnGuardClosesLeastUseful failed in 1 of 6 runs of the package: two connections were opened at the same instant of virtual time, and the guard closes connections of the same age in any order. The second one now opens 1 ms later; what the test asks is unchanged. 200 runs passed.

--- a/limits/connguard_test.go
+++ b/limits/connguard_test.go
@@ -40,6 +40,7 @@
 		}
 		for _, name := range []string{"head 1", "head 2"} {
 			open(name, "10.0.0.1", http.StateNew)
+			time.Sleep(time.Millisecond) // connections of the same age are closed in any order
 		}
 		open("idle", "10.0.0.1", http.StateIdle)
 		stalled := open("stalled", "10.0.0.1", http.StateActive)
