--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -26,6 +26,7 @@
 	Risk    int64 // in thousandths
 	// RetryCalls is in tenths.
 	RetryCalls int64
+	Wait       int64
 }
 
 // Bits of wireStatus.Flags.
@@ -54,6 +55,8 @@
 	// CalledByRetry is in thousandths.
 	CalledByRetry int64
 	Customer      string
+	GoodWait      int64
+	Weight        int64 // in thousandths
 }
 
 // Bits of wireReservation.Flags.
@@ -64,6 +67,7 @@
 	flagNoRetry
 	flagRetry
 	flagUrgent
+	flagLostPlace
 )
 
 // heartbeat is the datagram in which a node sends its state.
@@ -82,6 +86,8 @@
 	// state them.
 	Departures []Departure
 	Held       []Departure
+	LiveInZone int // live nodes of the sender's zone, with the sender
+	FleetSize  int // nodes that the sender knows, with itself and silent ones
 }
 
 // Bits of heartbeat.Flags.
@@ -90,6 +96,7 @@
 	flagConfigReader             // the sender reads the configuration from its source successfully
 	flagKnewEarlier              // the sender has known an earlier process of the receiver; only replies state it
 	flagStandby                  // the sender reads the configuration and sends the receiver a heartbeat every standbyHeartbeatInterval
+	flagOwnsQuotas               // the sender has run long enough to own quotas of customers
 )
 
 // maxHeartbeatBytes bounds a datagram. It stays below the usual MTU.
@@ -108,7 +115,7 @@
 		Flags: flagIf(s.Stopping, flagStopping) | flagIf(s.Ejected, flagEjected) | flagIf(s.Cold, flagCold) | flagIf(s.Recovering, flagRecovering) | flagIf(s.Tested, flagTested) | flagIf(s.AdmitsRetries, flagAdmitsRetries) | flagIf(s.AdmitsUrgentRetries, flagAdmitsUrgentRetries),
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		TrialIn: s.TrialIn.Milliseconds(), Idle: s.Idle.Milliseconds(),
-		Risk: toThousandths(s.Risk), RetryCalls: int64(math.Round(10 * s.RetryCalls)),
+		Risk: toThousandths(s.Risk), RetryCalls: int64(math.Round(10 * s.RetryCalls)), Wait: s.Wait.Milliseconds(),
 	}
 }
 
@@ -124,15 +131,17 @@
 		TrialIn: time.Duration(w.TrialIn) * time.Millisecond,
 		Idle:    time.Duration(w.Idle) * time.Millisecond,
 		Risk:    float64(w.Risk) / 1000, RetryCalls: float64(w.RetryCalls) / 10,
+		Wait: time.Duration(w.Wait) * time.Millisecond,
 	}, nil
 }
 
 func encodeReservation(r admission.Request) wireReservation {
 	return wireReservation{
 		Target: r.Target, Service: r.Service, Zone: r.Zone, Priority: r.Priority,
-		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry) | flagIf(r.Urgent, flagUrgent),
+		Flags:   flagIf(r.Idempotent, flagIdempotent) | flagIf(r.LastResort, flagLastResort) | flagIf(r.AllowUntested, flagAllowUntested) | flagIf(r.NoRetry, flagNoRetry) | flagIf(r.Retry, flagRetry) | flagIf(r.Urgent, flagUrgent) | flagIf(r.LostPlace, flagLostPlace),
 		MaxWait: r.MaxWait.Milliseconds(), Overdue: r.OverdueAfter.Milliseconds(),
 		MaxRisk: toThousandths(r.MaxRisk), CalledByRetry: toThousandths(r.CalledByRetry), Customer: r.Customer,
+		GoodWait: r.GoodWait.Milliseconds(), Weight: toThousandths(r.Weight),
 	}
 }
 
@@ -140,9 +149,10 @@
 	return admission.Request{
 		Target: w.Target, Service: w.Service, Zone: w.Zone, Priority: w.Priority,
 		Idempotent: w.Flags&flagIdempotent != 0, LastResort: w.Flags&flagLastResort != 0,
-		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0, Urgent: w.Flags&flagUrgent != 0,
+		AllowUntested: w.Flags&flagAllowUntested != 0, NoRetry: w.Flags&flagNoRetry != 0, Retry: w.Flags&flagRetry != 0, Urgent: w.Flags&flagUrgent != 0, LostPlace: w.Flags&flagLostPlace != 0,
 		MaxWait: time.Duration(w.MaxWait) * time.Millisecond, OverdueAfter: time.Duration(w.Overdue) * time.Millisecond,
 		MaxRisk: float64(w.MaxRisk) / 1000, CalledByRetry: float64(w.CalledByRetry) / 1000, Customer: w.Customer,
+		GoodWait: time.Duration(w.GoodWait) * time.Millisecond, Weight: float64(w.Weight) / 1000,
 	}
 }
 
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -28,6 +28,16 @@
 	return q.customer.Name
 }
 
+// weight returns the share of the request's customer when a service has too little
+// room: its agreed rate, which tells a large customer from one that floods. It is
+// 0 if there is none.
+func (q *request) weight() float64 {
+	if q.customer == nil {
+		return 0
+	}
+	return q.customer.Quota.PerSecond
+}
+
 // identify returns the customer that holds the request's key, or nil if callers
 // need none. A key that this node does not know may belong to a version that
 // another node has already; such a request is refused as not run rather than as
@@ -46,10 +56,27 @@
 	return nil, notRun(resultcode.UnknownKey, "version %d does not hold the key", cfg.Version)
 }
 
+// authorize reports whether the configuration in force still gives the key to
+// the customer that it belonged to in an earlier version. A request without a
+// customer needs no key.
+func (e *entryNode) authorize(customer *dynamic.Customer, key string, version int64) *resultcode.Error {
+	cfg := e.config()
+	if customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
+		return nil
+	}
+	if holder := cfg.Customer(key); holder == nil || holder.Name != customer.Name {
+		return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
+	}
+	return nil
+}
+
 // setCustomer replaces what the caller stated about its customer. The target
-// gets the customer's name and never the key.
-func (e *entryNode) setCustomer(q *request, customer *dynamic.Customer) {
+// gets the customer's name and never the key. The key is kept for as long as the
+// request waits, since a later version may withdraw it.
+func (e *entryNode) setCustomer(r *http.Request, q *request, customer *dynamic.Customer, version int64) {
+	key := r.Header.Get(e.headers.Key)
 	q.customer = customer
+	q.authorize = func() *resultcode.Error { return e.authorize(customer, key, version) }
 	delete(q.header, http.CanonicalHeaderKey(e.headers.Key))
 	name := http.CanonicalHeaderKey(e.headers.Customer)
 	delete(q.header, name)
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -57,6 +57,11 @@
 	}).Info("request is overdue, sent to another target")
 }
 
+// leftQueue logs that a request left the queue of a host that is not heard of.
+func (l *eventLog) leftQueue(id, addr string, left time.Duration) {
+	l.log.WithFields(log.Fields{"request": id, "host": addr, "left_ms": left.Milliseconds()}).Info("host is silent, request leaves its queue")
+}
+
 func (l *eventLog) hostNotReached(id, addr string, err error) {
 	l.log.WithFields(log.Fields{"request": id, "host": addr, "error": err.Error()}).Info("host node not reached")
 }
@@ -77,6 +82,15 @@
 	}).Info("target failed a request")
 }
 
+func (l *eventLog) memoryRevoked(held int64, behind time.Duration) {
+	l.log.WithFields(log.Fields{"held_bytes": held, "behind_ms": behind.Milliseconds()}).Warn("memory limit: slow transfer ended")
+}
+
+// connectionLimit logs that a connection was closed for others or refused.
+func (l *eventLog) connectionLimit(listener, action, ip string) {
+	l.log.WithFields(log.Fields{"connections": listener, "action": action, "ip": ip}).Warn("connection limit")
+}
+
 func (l *eventLog) targetStatus(s admission.Status) {
 	l.log.WithFields(log.Fields{
 		"target": s.Target, "service": s.Service, "phase": s.Phase.String(), "gray": s.Ejected, "returning": s.Recovering,
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -19,9 +19,13 @@
 	m.request(nil, nil, time.Millisecond)
 	m.reservation(admission.TargetBusy)
 	m.target(admission.Success, time.Millisecond)
+	m.queueLeft(admission.TargetEjected)
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
 	m.count(metricForeignAnswers)
+	m.count(metricMemoryRevoked)
+	m.count(metricMemoryRefused)
+	m.count(metricConnLimit + ".callers_closed")
 	m.count(metricBudgetWaits + budgetWaitSent)
 	var out bytes.Buffer
 	m.write(&out)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -18,6 +18,7 @@
 	"hyssopbridge/internal/clock"
 	"hyssopbridge/internal/drain"
 	"hyssopbridge/internal/loop"
+	"hyssopbridge/limits"
 	"hyssopbridge/placement"
 	"hyssopbridge/upstream"
 )
@@ -38,6 +39,8 @@
 	OnDepartures func(held []Departure, knewEarlier bool)
 	Log          log.Interface
 	Seed         uint64
+	// Resources is what the process may use.
+	Resources Resources
 	// Clock includes the time for which the machine was suspended; clock.SinceBoot
 	// if nil.
 	Clock func() time.Duration
@@ -53,11 +56,13 @@
 	gate         *admission.Gate
 	view         *placement.View
 	peers        *peers
+	quotas       *quotas
 	hostNode     *hostNode
 	entryNode    *entryNode
 	remote       *nodeClient
 	targetClient *upstream.Client
 	callerServer *callerServer
+	resources    *resources
 	nodeServer   *nodeServer
 
 	config        atomic.Pointer[configInForce]
@@ -70,6 +75,8 @@
 	announced     atomic.Pointer[announcedState]
 	configReader  atomic.Bool
 	stopping      atomic.Bool
+	waiting       context.Context // ends when requests may no longer wait for a target
+	endWaiting    context.CancelFunc
 	cancel        context.CancelFunc
 }
 
@@ -95,30 +102,42 @@
 		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
 		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue), readerChanged: make(chan struct{}, 1),
 	}
+	n.quotas = &quotas{
+		core: limits.NewQuotas(cfg.GossipAddr, cfg.Zone, QuotaPolicy{}, n.now()), now: n.now, session: n.wallStart.UnixMilli(),
+		send: n.peers.sendDatagram, metrics: n.metrics,
+	}
+	n.peers.quotas = n.quotas
+	n.waiting, n.endWaiting = context.WithCancel(context.Background())
 	n.buildDataPath()
 	return n
 }
 
 func (n *Node) buildDataPath() {
-	n.targetClient = upstream.NewClient(upstream.Config{MaxIdle: maxIdleToTarget})
-	between := upstream.NewClient(upstream.Config{Dial: DialNode, DialTimeout: reserveTimeout})
+	n.resources = newResources(n.cfg.Resources, n.now, n.log, n.metrics)
+	n.targetClient = upstream.NewClient(upstream.Config{Dial: n.resources.limitDial(dialTarget), MaxIdle: maxIdleToTarget})
+	between := upstream.NewClient(upstream.Config{Dial: n.resources.limitDial(DialNode), DialTimeout: reserveTimeout})
+	n.resources.closeIdle = func() {
+		n.targetClient.CloseIdle(true)
+		between.CloseIdle(true)
+	}
 	calls := &outboundCalls{now: n.now}
 	policy := func() RetryPolicy { return *n.retryPolicy.Load() }
 	n.hostNode = &hostNode{
-		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), log: n.log, metrics: n.metrics,
+		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), resources: n.resources, log: n.log, metrics: n.metrics,
 		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
 		now: n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
-	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, onStatus: n.statusReceived}
+	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, onStatus: n.statusReceived}
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
 		budgetQueues: newBudgetQueues(n.now, policy, n.view.Nodes, n.cfg.Seed),
+		stopping:     n.waiting,
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, behind: n.peers.haveNewer, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
-		outboundCalls: n.hostNode.outboundCalls, log: n.log, metrics: n.metrics,
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		outboundCalls: n.hostNode.outboundCalls, resources: n.resources, log: n.log, metrics: n.metrics,
 	}
 }
 
@@ -161,13 +180,14 @@
 	if err != nil {
 		return fmt.Errorf("listener for callers: %w", err)
 	}
-	n.nodeServer = newNodeServer(http.HandlerFunc(n.serveNode), between)
-	n.callerServer = newCallerServer(n.entryNode, callers)
+	n.nodeServer = newNodeServer(http.HandlerFunc(n.serveNode), n.resources.nodes, between)
+	n.callerServer = newCallerServer(n.entryNode, n.resources.callers, callers)
 	go n.callerServer.serve()
 	return nil
 }
 
 func (n *Node) serveNode(w http.ResponseWriter, r *http.Request) {
+	boundUnreadBody(w, r)
 	if r.Header.Get(headerConfig) == "" {
 		n.hostNode.ServeHTTP(w, r)
 		return
@@ -299,14 +319,15 @@
 
 // Stop stops the node once its requests have ended, or when ctx ends. For the
 // duration of settle it still serves callers. Shortly before the end of that
-// period it refuses new requests for its target, and afterwards it lets those in
-// flight finish.
+// period it refuses new requests for its target. Afterwards it refuses callers'
+// requests that still wait for a target, and lets those in flight finish.
 func (n *Node) Stop(ctx context.Context, settle time.Duration) error {
 	n.stopping.Store(true)
 	sleep(ctx, time.Duration(targetStopShare*float64(settle)))
 	n.gate.Stop()
 	sleep(ctx, settle-time.Duration(targetStopShare*float64(settle)))
 	n.entryNode.dispatcher.budgetQueues.stop()
+	n.endWaiting()
 	err := errors.Join(n.callerServer.shutdown(ctx), n.nodeServer.shutdown(ctx))
 	n.cancel()
 	return err
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -40,6 +39,7 @@
 	grayService string  // the only service with gray failures; all if empty
 	duration    time.Duration
 	burst       float64 // factor on the request rate in the middle third
+	bursts      []simBurst
 	cutShare    float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
 	seed        uint64
 	nodes       []*simNode
@@ -69,13 +69,30 @@
 	late  int   // number of targets that join after a third of the time
 }
 
+// simBurst is a time in which a class has a multiple of its requests.
+type simBurst struct {
+	class    string
+	from, to time.Duration
+	factor   float64
+	customer string // only requests of this customer; all if empty
+}
+
 type simClass struct {
 	route       dynamic.Route
 	rate        float64 // requests per second; 0 for nested calls only
 	runTime     time.Duration
-	spread      float64 // standard deviation of the logarithm of run times
-	calledClass string  // class of the nested calls that a fraction of its runs make
-	callShare   float64 // nested calls that one of its runs makes, on average
+	spread      float64           // standard deviation of the logarithm of run times
+	calledClass string            // class of the nested calls that a fraction of its runs make
+	callShare   float64           // nested calls that one of its runs makes, on average
+	customer    *dynamic.Customer // nil for none
+}
+
+// label is the name under which the outcomes of a class are counted.
+func (c *simClass) label() string {
+	if c.customer == nil {
+		return c.route.Name
+	}
+	return c.customer.Name
 }
 
 // simArrival is a request that arrives at a service, as a first attempt or a
@@ -118,10 +135,12 @@
 // simTally counts the outcomes of callers' requests.
 type simTally struct {
 	all, inTime, late, refused, failed int
+	refusedAfter                       []time.Duration
 	crossZone                          int // attempts sent to another availability zone
 	lost                               int // attempts that a gray failure made fail
 	reservations                       int // reservations asked of host nodes
 	crossZoneReservations              int // reservations asked of host nodes in another zone
+	queued                             int // reservations that had to wait in line
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
 }
@@ -341,6 +360,11 @@
 		if sim.burst > 0 && sim.inMiddleThird() {
 			rate *= sim.burst
 		}
+		for _, b := range sim.bursts {
+			if now := sim.fleetNow(); b.class == c.route.Name && (b.customer == "" || b.customer == c.label()) && now >= b.from && now < b.to {
+				rate *= b.factor
+			}
+		}
 		time.Sleep(time.Duration(-math.Log(1-sim.float()) / rate * float64(time.Second)))
 		n := sim.nodes[int(sim.float()*float64(len(sim.nodes)))]
 		callers.Go(func() {
@@ -356,7 +380,7 @@
 func (n *simNode) request(ctx context.Context, c *simClass) bool {
 	start := time.Now()
 	until, _ := ctx.Deadline()
-	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
+	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, customer: c.customer, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
 	service := c.route.Shares[0].Service
 	if service != n.service.name {
 		q.fromRunProb, q.fromRetryProb = n.outboundCalls.record(c.route.Name, service)
@@ -367,11 +391,12 @@
 	}
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
-	t := n.sim.tallyOf(c.route.Name)
+	t := n.sim.tallyOf(c.label())
 	t.all++
 	switch {
 	case err != nil && asResultError(err).Ran == resultcode.RanNo:
 		t.refused++
+		t.refusedAfter = append(t.refusedAfter, time.Since(start))
 	case err != nil || resp.status != http.StatusOK:
 		t.failed++
 	case time.Since(start) > c.route.Objective:
@@ -404,11 +429,14 @@
 	})
 	if n.sim.isCut(n, host) {
 		n.sim.count(ctx, func(t *simTally) { t.unreachable++ })
-		sleepFor(ctx, r.MaxWait+reserveTimeout)
-		return nil, errors.New("no response")
+		sleepFor(ctx, reserveTimeout)
+		return nil, errNoAnswer
 	}
 	time.Sleep(n.sim.delay(n.zone, host.zone))
-	reserved, reason := host.budget.reserve(ctx, host.gate, r)
+	reserved, reason := host.budget.reserveInLine(ctx, host.gate, r, func() {
+		n.sim.count(ctx, func(t *simTally) { t.queued++ })
+		n.view.Refresh(addr, host.status())
+	})
 	status := host.status()
 	time.Sleep(n.sim.delay(n.zone, host.zone))
 	n.view.Refresh(addr, status)
@@ -463,7 +491,7 @@
 func (sim *simulation) count(ctx context.Context, update func(*simTally)) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).route.Name))
+	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).label()))
 }
 
 // retryKey is the context key that tells whether the run that makes a call is a
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -24,12 +24,15 @@
 // Candidate is a host to ask.
 type Candidate struct {
 	Host
-	Target          string // ID of the target on the host
-	LastResort      bool   // ejected and not chosen for a trial request: ask only as the last resort
-	RecentlyRefused bool   // it refused a request within the refusal hold, or its status shows that it would
-	InBackoff       bool   // it was unreachable, and the backoff has not ended
-	OtherZone       bool   // in another availability zone
-	AdmitsRetry     bool   // its status shows that it would admit a retry of the request
+	Target          string        // ID of the target on the host
+	LastResort      bool          // ejected and not chosen for a trial request: ask only as the last resort
+	RecentlyRefused bool          // it refused a request within the refusal hold, or its status shows that it would
+	InBackoff       bool          // it was unreachable, and the backoff has not ended
+	OtherZone       bool          // in another availability zone
+	AdmitsRetry     bool          // its status shows that it would admit a retry of the request
+	Wait            time.Duration // estimated wait for a slot, by the host's status
+	tooRisky        bool          // its status shows a higher risk than the request accepts
+	load            float64       // requests that run or wait there, per slot
 	class           class
 	score           float64 // within the class, in the unit of load; the lowest is best
 }
@@ -62,11 +65,17 @@
 	if h.Zone != v.cfg.Zone {
 		hold = v.cfg.OtherZoneStatusHold
 	}
-	if age > hold || s.Ejected {
+	if age > max(hold, time.Duration(waitHoldShare*float64(s.Wait))) || s.Ejected {
 		return false
 	}
+	return s.Running >= s.Slots && s.Waiting > 0 || v.tooRisky(h, r, age)
+}
+
+// tooRisky reports whether the host's status shows a higher risk than the request
+// accepts.
+func (v *View) tooRisky(h *host, r Request, age time.Duration) bool {
 	mayBeTrial := r.Idempotent && !r.NoRetry
-	return s.Running >= s.Slots && s.Waiting > 0 || !mayBeTrial && s.Tested && s.Risk > r.MaxRisk && !v.isIdle(h, age)
+	return !mayBeTrial && h.status.Tested && h.status.Risk > r.MaxRisk && !v.isIdle(h, age)
 }
 
 // Rank returns the hosts to ask, best first. Hosts with an ejected target that is
@@ -89,15 +98,18 @@
 	if reachable := func(c Candidate) bool { return !c.InBackoff }; slices.ContainsFunc(out, reachable) {
 		out = slices.DeleteFunc(out, func(c Candidate) bool { return c.InBackoff })
 	}
-	slices.SortFunc(out, func(a, b Candidate) int {
-		if a.class != b.class {
-			return int(a.class) - int(b.class)
-		}
-		return cmp.Compare(a.score, b.score)
-	})
+	slices.SortFunc(out, Candidate.compare)
 	return out
 }
 
+// compare orders candidates, best first.
+func (c Candidate) compare(other Candidate) int {
+	if c.class != other.class {
+		return int(c.class) - int(other.class)
+	}
+	return cmp.Compare(c.score, other.score)
+}
+
 // trialChance returns the probability that a request becomes the trial request of
 // an ejected target whose trial has been due for the given time. Other
 // availability zones join in later, in case the target's own zone sends too few
@@ -167,6 +179,7 @@
 	c := Candidate{
 		Host: h.Host, Target: s.Target, RecentlyRefused: now < h.refusedUntil || v.wouldRefuse(h, r, age), InBackoff: now < h.avoidUntil,
 		OtherZone: h.Zone != v.cfg.Zone, AdmitsRetry: s.AdmitsRetries || r.Urgent && s.AdmitsUrgentRetries,
+		Wait: v.expectedWait(h), tooRisky: v.tooRisky(h, r, age), load: h.load(),
 	}
 	trial := s.Ejected && v.isTrial(h, r, age, now)
 	c.LastResort = s.Ejected && !trial
@@ -209,10 +222,16 @@
 	return out
 }
 
+// load returns the requests that run or wait at the host, per slot.
+func (h *host) load() float64 {
+	s := &h.status
+	return float64(max(s.Running+s.Waiting+h.queued, h.inFlight)) / float64(max(1, s.Slots))
+}
+
 // score rates the host for the request among hosts of the same class.
 func (v *View) score(h *host, r Request, age time.Duration) float64 {
 	s := &h.status
-	score := float64(max(s.Running+s.Waiting, h.inFlight))/float64(max(1, s.Slots)) + v.cfg.Jitter*v.rand.Float64()
+	score := h.load() + v.cfg.Jitter*v.rand.Float64()
 	switch {
 	case h.Addr == v.cfg.Self:
 		score -= v.cfg.SelfBonus
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,9 +16,10 @@
 const maxInformational = 8
 
 var (
+	errStatus        = errors.New("status code is below 100")
 	errSwitching     = errors.New("server switched protocols")
 	errInformational = errors.New("too many 1xx responses")
-	errAborted       = errors.New("exchange ended before the request body was sent")
+	errAborted       = errors.New("exchange ended before the request was sent")
 )
 
 // Options modifies an exchange.
@@ -43,6 +44,9 @@
 	// connection, which no earlier request can have caused. nil accepts every
 	// response.
 	Matches func(r *http.Response, fresh bool) bool
+	// OnInformational is called with the header of each 1xx response. nil ignores
+	// them.
+	OnInformational func(h http.Header)
 }
 
 const (
@@ -81,8 +85,8 @@
 		if err == nil {
 			return resp, nil
 		}
-		nothingSent := cn.written.Load() == 0
 		x.finish(false)
+		nothingSent := cn.endWrites()
 		if nothingSent && reused && ctx.Err() == nil && !opt.bodyMayBeConsumed(req) {
 			continue // the server closed the idle connection
 		}
@@ -109,9 +113,13 @@
 }
 
 func (x *exchange) run(ctx context.Context, req *http.Request, opt Options) (*http.Response, error) {
-	x.conn.written.Store(0)
+	x.conn.beginWrites()
 	x.stop = context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Unix(1, 0)) })
 	x.sendDone = make(chan struct{})
+	if err := ctx.Err(); err != nil {
+		// The deadline above may be set only after the first write.
+		return nil, err
+	}
 	hasBody := req.Body != nil && req.Body != http.NoBody
 	switch {
 	case hasBody && (opt.Stream || opt.ExpectContinue):
@@ -127,7 +135,7 @@
 			return nil, x.sendErr
 		}
 	}
-	resp, err := x.receiveMatching(req, opt.Matches)
+	resp, err := x.receiveMatching(req, opt)
 	if err != nil {
 		return nil, x.preferSendError(err)
 	}
@@ -158,10 +166,10 @@
 }
 
 // receiveMatching returns the first response that belongs to the request.
-func (x *exchange) receiveMatching(req *http.Request, matches func(*http.Response, bool) bool) (*http.Response, error) {
+func (x *exchange) receiveMatching(req *http.Request, opt Options) (*http.Response, error) {
 	for range maxMismatched {
-		resp, err := x.receive(req)
-		if err != nil || matches == nil || matches(resp, !x.reused && !x.mismatched) {
+		resp, err := x.receive(req, opt.OnInformational)
+		if err != nil || opt.Matches == nil || opt.Matches(resp, !x.reused && !x.mismatched) {
 			return resp, err
 		}
 		x.mismatched = true
@@ -190,7 +198,7 @@
 }
 
 // receive returns the next final response.
-func (x *exchange) receive(req *http.Request) (*http.Response, error) {
+func (x *exchange) receive(req *http.Request, onInformational func(http.Header)) (*http.Response, error) {
 	for range maxInformational {
 		x.conn.header.limit()
 		resp, err := http.ReadResponse(x.conn.br, req)
@@ -199,12 +207,16 @@
 		}
 		x.conn.header.unlimit()
 		switch {
+		case resp.StatusCode < http.StatusContinue:
+			return nil, errStatus
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitching
 		case resp.StatusCode >= 200:
 			return resp, nil
 		case resp.StatusCode == http.StatusContinue && x.gate != nil:
 			x.gate.open()
+		case onInformational != nil:
+			onInformational(resp.Header)
 		}
 	}
 	return nil, errInformational
