--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -204,6 +204,7 @@
 // called service sheds half of its requests, so that the runs which call it fail;
 // the budget of their own service would permit to repeat most of them.
 func TestCallsOfRetriesWithinBudget(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, smallCalledService)
 	read := got["read"]
 	// Without any retry 0.80 would be served: a run makes 1.3 calls on average.
@@ -217,6 +218,7 @@
 // accept no connections for 30% of the time, and more load than one of them can
 // serve.
 func TestLoadWithAbsentTargets(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := threeServices(seed)
 		sim.mode, sim.failShare, sim.hosts[2].count = connectionRefused, 1, 2
@@ -235,6 +237,7 @@
 // there are twice as many requests as usual and gray failures, so that most
 // hosts refuse.
 func TestLoadWithPartialPartition(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := threeServices(seed)
 		sim.cutShare, sim.burst = 0.2, 2
@@ -256,6 +259,7 @@
 // ten. What can't be avoided are the orders that arrive before the first one is
 // overdue; one more may follow a return.
 func TestOrdersLostPerOnset(t *testing.T) {
+	t.Parallel()
 	lost, onsets := 0, 0
 	for seed := range uint64(3) {
 		sim := threeServices(seed + 1)
@@ -276,6 +280,7 @@
 // are not gray can run. Each such question between zones costs nearly as much
 // traffic as an order.
 func TestFewReservationsBeyondCapacity(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := threeServices(seed)
 		sim.wholePeriods, sim.burst = true, 2
@@ -295,6 +300,7 @@
 // while targets of other zones have shorter queues. All targets of orders, which
 // call the archive, are in one zone with one of its nine targets.
 func TestLoadWithUnevenZones(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 4, func(seed uint64) *simulation {
 		sim := threeServices(seed)
 		sim.wholePeriods, sim.grayShare = true, 0
@@ -313,6 +319,7 @@
 // requests; an attempt at a second target succeeds as often, so retries up to
 // urgentShare of the ratio are a second chance for as many orders.
 func TestShedOrdersAreRetried(t *testing.T) {
+	t.Parallel()
 	const shedShare = 0.5
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := threeServices(seed)
@@ -346,6 +353,7 @@
 // the 8 s half of 1,060 requests are shed. The budget covers about 250 more
 // sends in that time and 25 a second afterwards.
 func TestShedRequestsAwaitBudget(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, shedsForSeconds)
 	for class, most := range map[string]float64{"order": 0.02, "read": 0.08} {
 		x := got[class]
@@ -359,6 +367,7 @@
 // cannot reach until it is too late. A fifth of the pairs of nodes are cut from
 // each other while the targets shed.
 func TestAwaitBudgetWithPartialPartition(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := shedsForSeconds(seed)
 		sim.cutShare = 0.2
@@ -377,6 +386,7 @@
 // call, accepts no connections half of the time; the targets of orders are
 // healthy and have room.
 func TestFailedCallsAreNotBlamedOnCallers(t *testing.T) {
+	t.Parallel()
 	got := runSimulations(t, 2, func(seed uint64) *simulation {
 		sim := threeServices(seed)
 		sim.mode, sim.grayShare, sim.failShare, sim.grayService = connectionRefused, 0.5, 1, "archive"
@@ -392,6 +402,7 @@
 // Guards against targets that join and get nothing because those known to be
 // healthy have room. Only orders call the service, and no target fails.
 func TestNewTargetsGetRequests(t *testing.T) {
+	t.Parallel()
 	const mostWait = 2 * time.Second // on top of the time until a status reaches all zones
 	sim := threeServices(1)
 	sim.grayShare, sim.hosts[1].late = 0, 6
--- a/mesh/queue_load_test.go
+++ b/mesh/queue_load_test.go
@@ -41,6 +41,7 @@
 // serve them before their deadline, and against more urgent requests that suffer
 // from it. Demand is twice the capacity for 7 s.
 func TestShortBurstLosesNothing(t *testing.T) {
+	t.Parallel()
 	got := burstLoad(1, 7*time.Second).run(t)
 	for class, x := range got {
 		if refused := x.share(x.refused); refused > 0.01 {
@@ -60,6 +61,7 @@
 // capacity. The orders' own capacity in the simulated time is what is left beside
 // the lookups.
 func TestLongBurstIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	sim := burstLoad(1, 22*time.Second)
 	got := sim.run(t)
 	order := got["order"]
@@ -87,6 +89,7 @@
 // gray failure at a time, each for 2.7 s, while demand is at the capacity that is
 // left.
 func TestWaitersMoveOn(t *testing.T) {
+	t.Parallel()
 	sim := burstLoad(1, 7*time.Second)
 	sim.grayShare, sim.bursts[0].factor = 0.3, 2.2
 	order := sim.run(t)["order"]
@@ -100,6 +103,7 @@
 // customers and a large one send what they always do, which is less than half of
 // the capacity.
 func TestFloodTakesFromItsOwnShare(t *testing.T) {
+	t.Parallel()
 	sim := burstLoad(1, 0)
 	order := sim.classes[1]
 	sim.classes = nil
