--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -187,7 +187,7 @@
 	defer cancel()
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/"}, Host: addr,
-		Header: http.Header{"User-Agent": nil, headerConfig: {"1"}, headerConfigAfter: {formatVersion(version)}}, Body: http.NoBody,
+		Header: http.Header{"User-Agent": nil, headerConfig: {"1"}, headerConfigAfter: {strconv.FormatInt(version, 10)}}, Body: http.NoBody,
 	}
 	httpResp, err := c.client.Do(ctx, addr, req, upstream.Options{})
 	if err != nil {
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -81,7 +81,7 @@
 		if reason == admission.NoBudget && round+1 >= c.retryRounds && c.mayAwaitBudget() {
 			return c.awaitedTarget()
 		}
-		if c.left() <= minSendTime || c.noRoom || (c.hasWaited() && !(c.lostPlace && c.usefulWait() > 0) && (c.delivered == 0 || round+1 >= c.retryRounds)) {
+		if c.endsSearch(round) {
 			if t, ok := c.reserveEjected(); ok {
 				return t, nil
 			}
@@ -99,6 +99,17 @@
 	}
 }
 
+// endsSearch reports whether the request stops looking for a target after a
+// round in which none took it. A request that lost its place in a queue goes on
+// while a response could still be of use.
+func (c *call) endsSearch(round int) bool {
+	if c.left() <= minSendTime || c.noRoom {
+		return true
+	}
+	mayGoOn := c.lostPlace && c.usefulWait() > 0
+	return c.hasWaited() && !mayGoOn && (c.delivered == 0 || round+1 >= c.retryRounds)
+}
+
 // awaitedTarget reserves a slot for a retry when there is budget for it.
 func (c *call) awaitedTarget() (reservedTarget, error) {
 	if t, ok := c.awaitBudget(); ok {
@@ -120,9 +131,11 @@
 // hasWaited reports whether the request has looked for a healthy target as long
 // as it may.
 func (c *call) hasWaited() bool {
-	sought := time.Since(c.start)
+	if c.nestedWait() > 0 {
+		return false
+	}
 	limit := time.Duration(failedWaitShare * float64(c.route.Objective))
-	return sought > limit && c.nestedWait() <= 0 || c.goodWait() < 0 && c.nestedWait() <= 0
+	return time.Since(c.start) > limit || c.goodWait() < 0
 }
 
 // goodWait returns for how long the request may still wait for a slot if it is
--- a/mesh/suspension.go
+++ b/mesh/suspension.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -124,5 +123,3 @@
 	}
 	return sameZone[:min(len(sameZone), maxConfirmNodes)]
 }
-
-func formatVersion(version int64) string { return strconv.FormatInt(version, 10) }
