--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -49,6 +49,12 @@
 	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, customers, []dynamic.Route{route("read", false), route("public", true)})
 }
 
+// startCustomerNode starts a node whose configurations decodeCustomers reads.
+func startCustomerNode(t *testing.T, g *stubTarget) *Node {
+	t.Helper()
+	return startNodeWith(t, g, func(c *Config) { c.Decode = decodeCustomers })
+}
+
 func setCustomers(t *testing.T, n *Node, raw string) {
 	t.Helper()
 	if err := n.SetConfig([]byte(raw), "test"); err != nil {
@@ -69,8 +75,9 @@
 		return respondOK(w, r)
 	})
 	var logged lockedBuffer
-	n := startNodeLogging(t, "z", g, text.New(&logged))
-	n.cfg.Decode = decodeCustomers
+	n := startNodeWith(t, g, func(c *Config) {
+		c.Decode, c.Log = decodeCustomers, &log.Logger{Handler: text.New(&logged), Level: log.InfoLevel}
+	})
 	setCustomers(t, n, "1 0 secret")
 	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
 	if err != nil {
@@ -138,8 +145,7 @@
 		<-release
 		return respondOK(w, r)
 	})
-	n := startNode(t, g)
-	n.cfg.Decode = decodeCustomers
+	n := startCustomerNode(t, g)
 	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
 	setCustomers(t, n, "1 0 secret")
 	var wait sync.WaitGroup
@@ -158,8 +164,7 @@
 
 // Guards against status 401 for a key that another node's version holds.
 func TestNewKeyAtNodeBehind(t *testing.T) {
-	n := startNode(t, startTarget(t, "t"))
-	n.cfg.Decode = decodeCustomers
+	n := startCustomerNode(t, startTarget(t, "t"))
 	setCustomers(t, n, "1 0 secret")
 	announce := func(version int64) {
 		n.peers.mu.Lock()
@@ -178,19 +183,11 @@
 func TestKeyWithdrawnDuringSuspension(t *testing.T) {
 	var suspended atomic.Int64
 	g := startTarget(t, "t")
-	n := New(Config{
-		Zone: "z", CallerAddr: testutil.FreeAddr(t), NodeAddr: testutil.FreeAddr(t), GossipAddr: testutil.FreeAddr(t), Headers: testHeaders,
-		Decode: decodeCustomers, Log: &log.Logger{Handler: text.New(io.Discard), Level: log.InfoLevel}, Seed: 1,
-		Clock: func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) },
+	n := startNodeWith(t, g, func(c *Config) {
+		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
 	})
-	if err := n.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { n.cancel(); n.nodeServer.http.Close(); n.callerServer.listener.Close() })
-	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 4, Phase: admission.Serving}, g.addr, false)
 	setCustomers(t, n, "1 0 secret")
-	other := startNode(t, nil)
-	other.cfg.Decode = decodeCustomers
+	other := startCustomerNode(t, nil)
 	connectNodes(t, n, other)
 	setCustomers(t, other, "1 0 secret")
 	wantResponse(t, send(t, n, "/read/1", "1", "X-Key", "secret"), 200, "")
@@ -216,8 +213,7 @@
 	const perSecond = 20
 	var nodes []*Node
 	for range 3 {
-		n := startNode(t, startTarget(t, "t"))
-		n.cfg.Decode = decodeCustomers
+		n := startCustomerNode(t, startTarget(t, "t"))
 		nodes = append(nodes, n)
 	}
 	connectNodes(t, nodes...)
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -147,10 +147,20 @@
 
 func startNodeLogging(t *testing.T, zone string, g *stubTarget, h log.Handler) *Node {
 	t.Helper()
-	n := New(Config{
-		Zone: zone, CallerAddr: testutil.FreeAddr(t), NodeAddr: testutil.FreeAddr(t), GossipAddr: testutil.FreeAddr(t), Headers: testHeaders,
-		Decode: decodeTest, Log: &log.Logger{Handler: h, Level: log.InfoLevel}, Seed: 1,
+	return startNodeWith(t, g, func(c *Config) {
+		c.Zone, c.Log = zone, &log.Logger{Handler: h, Level: log.InfoLevel}
 	})
+}
+
+// startNodeWith starts a node with a changed configuration.
+func startNodeWith(t *testing.T, g *stubTarget, change func(*Config)) *Node {
+	t.Helper()
+	cfg := Config{
+		Zone: "z", CallerAddr: testutil.FreeAddr(t), NodeAddr: testutil.FreeAddr(t), GossipAddr: testutil.FreeAddr(t), Headers: testHeaders,
+		Decode: decodeTest, Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, Seed: 1,
+	}
+	change(&cfg)
+	n := New(cfg)
 	if err := n.Start(); err != nil {
 		t.Fatal(err)
 	}
