mesh: leave more of the retry budget unused

Arrivals at a target that is gone count there; the node does not count a request whose connection was refused.

Change: hedges and late retries use 60% of the allowance (70% before), urgent retries 80% (85%), calls of retried runs with retries 80% (85%), all together 85% (90%).

--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -19,25 +19,25 @@
 	// budgetShare is the fraction of the service's allowance that host nodes
 	// grant. The rest covers requests that are counted in another window than
 	// their retries, and the random rounding of each host's allowance.
-	budgetShare = 0.7
+	budgetShare = 0.6
 	// urgentShare is the fraction up to which retries of requests that have not
 	// run and can still be in time may use the allowance: without one they are
 	// late or refused. A hedge often only saves time, and a late response is worth
 	// less; late requests at one node must not take the budget from those at
 	// another that can be in time.
-	urgentShare = 0.85
+	urgentShare = 0.8
 	// nestedCallShare is the fraction up to which retries and the calls that
 	// retried runs make may use the allowance together, and maxCallShare the
 	// fraction up to which such calls alone may. directShare is the fraction
 	// that is left for retries of this service even so: a retry of a failed call
 	// costs one request here, a retry of the run that made it repeats all its
 	// calls.
-	nestedCallShare = 0.85
+	nestedCallShare = 0.8
 	maxCallShare    = 0.7
 	directShare     = 0.2
 	// mostShare is the fraction beyond which neither is admitted, whatever the
 	// shares, since calls are attributed to retried runs by probabilities.
-	mostShare = 0.9
+	mostShare = 0.85
 	// minAssumedHosts is the smallest number of hosts among which the slack of
 	// a service is divided. A node that knows few other hosts must not claim
 	// their share.
