admission, placement: try targets while the retry budget is spent

An ejected target got none for 5.6 s although its risk had fallen to 0.37, and one that had failed for most of the time keeps its risk above the limit for ever.

Change: an ejected target of the own zone that gets no other request is tried with an idempotent request that can't be retried: after 1.6 s if it has probably recovered, after 3.2 s in any case, after 0.4 s while it recovers. Retries never are trial requests.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -259,7 +259,7 @@
 	switch {
 	case req.AllowUntested && !tested, req.LastResort, g.risk(now) <= req.MaxRisk:
 		return None
-	case IsIdle(g.idle(now), tested) && g.grayRisk(now) <= maxIdleRisk:
+	case IsIdle(g.idle(now), tested) && g.grayRisk(now) <= MaxIdleRisk:
 		return None
 	}
 	return TargetUnproven
@@ -269,7 +269,9 @@
 // target are admitted too. A non-idempotent request that fails would have an
 // unknown outcome, so it is refused as not run, unless it is the last resort for
 // a target that has nearly recovered or is only suspected, or the target gets no
-// other request that could be its trial and has probably recovered.
+// other request that could be its trial and has probably recovered. While the
+// retry budget is spent no request could be retried, so idempotent ones are tried
+// without that at a target that gets no other requests.
 func (g *Gate) checkEjected(req Request, now time.Duration) Reason {
 	due := g.detector.TrialIn(now) == 0
 	switch {
@@ -277,12 +279,26 @@
 		return None
 	case !req.Idempotent && req.LastResort && (g.detector.NearlyRecovered() || g.detector.Suspected() && g.detector.needed == 1):
 		return None
-	case !req.Idempotent && due && g.idle(now) >= idleAfter && g.grayRisk(now) <= maxIdleRisk:
+	case due && !(req.Idempotent && req.Retry) && g.idle(now) >= idleAfter && g.grayRisk(now) <= MaxIdleRisk:
+		return None
+	case req.Idempotent && !req.Retry && due && IsStarved(g.idle(now), g.detector.recovering):
 		return None
 	}
 	return TargetEjected
 }
 
+// starvedAfter is the time without a request after which an ejected target is
+// offered an idempotent one that can't be retried, whatever its risk: the risk of
+// a target that failed for most of the time stays high until a trial succeeds.
+const starvedAfter = 2 * idleAfter
+
+// IsStarved reports whether an ejected target that has had no request for the
+// given time is offered an idempotent one even if that can't be retried. A target
+// that is recovering has passed a trial request and needs more of them.
+func IsStarved(idle time.Duration, recovering bool) bool {
+	return idle >= starvedAfter || recovering && idle >= untestedIdleAfter
+}
+
 // idleAfter is the time without a request after which a target without a recent
 // success is offered any request of its service.
 const idleAfter = 1600 * time.Millisecond
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -409,8 +409,8 @@
 	sim.classes[0].callShare = 0
 	sim.run(t)
 	for _, n := range sim.nodes {
-		if wait := n.firstRun - n.joined; n.firstRun == 0 || wait > mostWait+crossZoneInterval {
-			t.Errorf("%s joined at %v and got its first request at %v (0 if none)", n.addr, n.joined, n.firstRun)
+		if n.runs = append(n.runs, sim.duration); n.runs[0]-n.joined > mostWait+crossZoneInterval {
+			t.Errorf("%s joined at %v and got its first request at %v (the end if none)", n.addr, n.joined, n.runs[0])
 		}
 	}
 }
@@ -459,3 +459,35 @@
 		})
 	}
 }
+
+// Guards against targets that stay without requests after a gray failure or a
+// restart because no request could be retried: the retry budget is spent, as it
+// is when a called service sheds. The operators want 0.7 of the sound targets to
+// get a request within 2 s; a target is sound again 6 s after its failure.
+func TestTargetsReturnWithoutBudget(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		sim := threeServices(seed + 1)
+		sim.wholePeriods, sim.grayShare, sim.period, sim.noBudget, sim.mode = true, 0.4, 12*time.Second, true, connectionReset
+		sim.run(t)
+		for _, s := range sim.hosts {
+			worst := 1.0
+			for now := 8 * time.Second; now < sim.duration; now += 250 * time.Millisecond {
+				sound, used := 0.0, 0.0
+				for _, n := range sim.nodes {
+					if n.service.name != s.name || !n.soundFor(now, 6*time.Second) {
+						continue
+					}
+					sound++
+					if slices.ContainsFunc(n.runs, func(at time.Duration) bool { return at > now-2*time.Second && at <= now }) {
+						used++
+					}
+				}
+				worst = min(worst, used/max(1, sound))
+			}
+			if worst < 0.7 {
+				t.Errorf("seed %d: in some 2 s only %.2f of the sound targets of %s got a request, want at least 0.7", seed+1, worst, s.name)
+			}
+		}
+	}
+}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -40,6 +40,7 @@
 	duration    time.Duration
 	burst       float64 // factor on the request rate in the middle third
 	bursts      []simBurst
+	noBudget    bool    // no retries are allowed
 	cutShare    float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
 	seed        uint64
 	nodes       []*simNode
@@ -129,6 +130,9 @@
 // policy is the retry budget of the fleet: as on the platform, about two
 // retries per host in a window on top of the ratio.
 func (sim *simulation) policy() RetryPolicy {
+	if sim.noBudget {
+		return RetryPolicy{}
+	}
 	return RetryPolicy{Ratio: 0.2, Slack: 2 * float64(sim.nodeCount())}
 }
 
@@ -157,8 +161,8 @@
 	budget        *budget
 	phase         time.Duration // offset of the target's failure schedule
 	announced     chan struct{}
-	joined        time.Duration // when the target began to serve
-	firstRun      time.Duration // when it got its first request; 0 if it got none
+	joined        time.Duration   // when the target began to serve
+	runs          []time.Duration // when it got requests
 }
 
 // inGrayFailure reports whether the target is failing at the given time.
@@ -336,13 +340,21 @@
 	return sim.fleetNow() > third && sim.fleetNow() < 2*third
 }
 
-// recordRun records when the target got its first request.
+// recordRun records that the target got a request.
 func (n *simNode) recordRun() {
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
-	if n.firstRun == 0 {
-		n.firstRun = n.sim.fleetNow()
+	n.runs = append(n.runs, n.sim.fleetNow())
+}
+
+// soundFor reports whether the target has not been in a gray failure for a time.
+func (n *simNode) soundFor(now, since time.Duration) bool {
+	for at := max(0, now-since); at <= now; at += 100 * time.Millisecond {
+		if n.inGrayFailure(at) {
+			return false
+		}
 	}
+	return true
 }
 
 // isCut reports whether two nodes cannot reach each other.
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -127,12 +127,19 @@
 }
 
 // mayBeTrial reports whether the request may be the trial request of an ejected
-// target. A non-idempotent request may only if the target gets no other requests.
+// target. A non-idempotent request, or one that could not be retried, may only if
+// the target gets no other requests. A retry never is one.
 func (v *View) mayBeTrial(h *host, r Request, age time.Duration) bool {
+	if r.Idempotent && !r.NoRetry {
+		return true
+	}
+	if h.Zone != v.cfg.Zone || r.Idempotent && r.Retry {
+		return false
+	}
 	if r.Idempotent {
-		return !r.NoRetry
+		return admission.IsStarved(h.status.Idle+age, h.status.Recovering) || h.status.Risk <= admission.MaxIdleRisk && v.isIdle(h, age)
 	}
-	return r.testIdle && h.Zone == v.cfg.Zone && v.isIdle(h, age)
+	return r.testIdle && v.isIdle(h, age)
 }
 
 // idleShare returns the fraction of the service's targets in this node's
