admission, mesh: offer idle targets sooner; late retries use 70% again

Change: an ejected target is tried after 1.6 s without a request whatever its risk, and the bonus of idle targets holds for every first attempt of an idempotent request. budgetShare is 0.7.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -259,7 +259,7 @@
 	switch {
 	case req.AllowUntested && !tested, req.LastResort, g.risk(now) <= req.MaxRisk:
 		return None
-	case IsIdle(g.idle(now), tested) && g.grayRisk(now) <= MaxIdleRisk:
+	case IsIdle(g.idle(now), tested) && g.grayRisk(now) <= maxIdleRisk:
 		return None
 	}
 	return TargetUnproven
@@ -279,7 +279,7 @@
 		return None
 	case !req.Idempotent && req.LastResort && (g.detector.NearlyRecovered() || g.detector.Suspected() && g.detector.needed == 1):
 		return None
-	case due && !(req.Idempotent && req.Retry) && g.idle(now) >= idleAfter && g.grayRisk(now) <= MaxIdleRisk:
+	case !req.Idempotent && due && g.idle(now) >= idleAfter && g.grayRisk(now) <= maxIdleRisk:
 		return None
 	case req.Idempotent && !req.Retry && due && IsStarved(g.idle(now), g.detector.recovering):
 		return None
@@ -287,16 +287,12 @@
 	return TargetEjected
 }
 
-// starvedAfter is the time without a request after which an ejected target is
-// offered an idempotent one that can't be retried, whatever its risk: the risk of
-// a target that failed for most of the time stays high until a trial succeeds.
-const starvedAfter = 2 * idleAfter
-
 // IsStarved reports whether an ejected target that has had no request for the
-// given time is offered an idempotent one even if that can't be retried. A target
-// that is recovering has passed a trial request and needs more of them.
+// given time is offered an idempotent one even if that can't be retried, whatever
+// the risk: that of a target which failed for most of the time stays high until a
+// trial succeeds. A target that is recovering needs more trials soon.
 func IsStarved(idle time.Duration, recovering bool) bool {
-	return idle >= starvedAfter || recovering && idle >= untestedIdleAfter
+	return idle >= idleAfter || recovering && idle >= untestedIdleAfter
 }
 
 // idleAfter is the time without a request after which a target without a recent
--- a/admission/risk.go
+++ b/admission/risk.go
@@ -15,9 +15,9 @@
 	// minTail is the assumed fraction of successful requests whose run time is
 	// unbounded.
 	minTail = 0.01
-	// MaxIdleRisk is the highest risk of a target that is offered any request
+	// maxIdleRisk is the highest risk of a target that is offered any request
 	// because it has had none for long.
-	MaxIdleRisk = 0.5
+	maxIdleRisk = 0.5
 )
 
 // stallLikelihoods returns the likelihoods that a request of a gray and of a
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -19,7 +19,7 @@
 	// budgetShare is the fraction of the service's allowance that host nodes
 	// grant. The rest covers requests that are counted in another window than
 	// their retries, and the random rounding of each host's allowance.
-	budgetShare = 0.6
+	budgetShare = 0.7
 	// urgentShare is the fraction up to which retries of requests that have not
 	// run and can still be in time may use the allowance: without one they are
 	// late or refused. A hedge often only saves time, and a late response is worth
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	if r.Idempotent {
-		return admission.IsStarved(h.status.Idle+age, h.status.Recovering) || h.status.Risk <= admission.MaxIdleRisk && v.isIdle(h, age)
+		return admission.IsStarved(h.status.Idle+age, h.status.Recovering)
 	}
 	return r.testIdle && v.isIdle(h, age)
 }
@@ -254,7 +254,7 @@
 	case s.Ejected:
 	case (r.testIdle || !s.Tested) && !r.NoRetry && v.isIdle(h, age):
 		score -= v.cfg.IdleBonus
-	case r.Idempotent && !r.NoRetry && s.Running == 0 && h.inFlight == 0:
+	case r.Idempotent && !r.Retry && s.Running == 0 && h.inFlight == 0:
 		score -= v.longIdleBonus(s.Idle + age)
 	}
 	weight := v.cfg.NonIdempotentRiskWeight
