mesh: test the share of each customer while a service is short

Before this, the load tests had a flood beside customers of which each asked for less than its part. The new test has eight customers of 1 to 40% of the load, all of which ask for more than there is, clients that repeat at once, and customers that enter at one node or in a zone without targets.

A place in a line of about eight counts as a whole place for the weight of a small customer, so it always holds more than a large one.

--- /dev/null
+++ b/mesh/fairshare_load_test.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"maps"
+	"math"
+	"testing"
+	"time"
+
+	"hyssopbridge/config/dynamic"
+)
+
+// fairShareLoad is a service of 32 slots for about 107 requests a second, with
+// eight customers that together ask for nine tenths of it. For 10 s each sends
+// half again as much, and "flood" ten times its usual; its clients repeat at once
+// what is refused. Small customers enter at one node, or in a zone without
+// targets of the service.
+func fairShareLoad(seed uint64) *simulation {
+	const ms = time.Millisecond
+	from, to := 4*time.Second, 14*time.Second
+	sim := &simulation{
+		zones: 4, seed: seed, duration: 16 * time.Second, period: 9 * time.Second, countFrom: from, countTo: to,
+		hosts: []simService{
+			{name: "orders", count: 8, slots: 4, zones: []int{0, 0, 0, 1, 1, 1, 2, 2}},
+			{name: "other", count: 4, slots: 1, zones: []int{0, 1, 2, 3}},
+		},
+		bursts: []simBurst{
+			{class: "order", from: from, to: to, factor: 1.5},
+			{class: "order", from: from, to: to, factor: 10 / 1.5, customer: "flood"},
+		},
+		clients: map[string]simClients{
+			"one": {node: "other-1"}, "two": {zone: "z3"}, "four": {zone: "z3"}, "six": {node: "orders-7"},
+			"flood": {repeats: 3},
+		},
+	}
+	route := simRoute("order", "orders", false, 1200*ms, 3000*ms, 2, 1)
+	for _, c := range fairShareCustomers {
+		sim.classes = append(sim.classes, simClass{
+			route: route, rate: 0.96 * c.percent, runTime: 300 * ms, spread: 0.5,
+			customer: &dynamic.Customer{Name: c.name, Quota: dynamic.Quota{PerSecond: quotaFactor * 0.96 * c.percent}},
+		})
+	}
+	return sim
+}
+
+// quotaFactor is the quota of a customer as a multiple of its usual rate.
+const quotaFactor = 1.6
+
+// fairShareCustomers are customers with their part of the usual load.
+var fairShareCustomers = []struct {
+	name    string
+	percent float64
+}{
+	{"one", 1}, {"two", 2}, {"four", 4}, {"six", 6}, {"flood", 10}, {"fifteen", 15}, {"twenty-two", 22}, {"forty", 40},
+}
+
+// fairShares returns the fraction of each customer's requests that would be
+// served if a capacity in requests a second went by weight: what a customer
+// does not need of its part goes to the others.
+func fairShares(rates, weights map[string]float64, capacity float64) map[string]float64 {
+	shares, open := map[string]float64{}, maps.Clone(rates)
+	for len(open) > 0 {
+		total := 0.0
+		for name := range open {
+			total += weights[name]
+		}
+		perWeight, met := capacity/total, false
+		for name, rate := range open {
+			if rate <= perWeight*weights[name] {
+				shares[name], met = 1, true
+				capacity -= rate
+				delete(open, name)
+			}
+		}
+		if met {
+			continue
+		}
+		for name, rate := range open {
+			shares[name] = perWeight * weights[name] / rate
+		}
+		break
+	}
+	return shares
+}
+
+// ofQuota returns the fraction that was served of a customer's requests within
+// its quota: what it sends beyond is not owed.
+func ofQuota(x *simTally, quota float64, window time.Duration) (served, owed float64) {
+	owed = min(float64(x.all), quota*window.Seconds())
+	return min(owed, float64(x.inTime+x.late)), owed
+}
+
+// Guards against customers that are served less than a quarter as often as all
+// while a service is short, be it for their size, for the nodes at which their
+// clients enter or for their priority, and against a flood that takes from the
+// share of others.
+func TestEveryCustomerGetsAShare(t *testing.T) {
+	const seeds = 4
+	window := 10 * time.Second
+	for name, change := range map[string]func(*simulation){
+		"equal priority": func(*simulation) {},
+		"repeats only": func(sim *simulation) {
+			sim.bursts[1].customer = "nobody"
+			sim.bursts[0].factor = 2
+			sim.clients["flood"] = simClients{repeats: 20}
+		},
+		"flood beside the targets": func(sim *simulation) {
+			for _, name := range []string{"one", "two", "four", "six", "fifteen"} {
+				sim.clients[name] = simClients{zone: "z3"}
+			}
+			sim.clients["flood"] = simClients{zone: "z0", repeats: 3}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var sim *simulation
+			got := runSimulations(t, seeds, func(seed uint64) *simulation {
+				sim = fairShareLoad(seed)
+				change(sim)
+				return sim
+			})
+			rates, weights := map[string]float64{}, map[string]float64{}
+			served, owed := 0.0, 0.0
+			for _, c := range sim.classes {
+				name := c.customer.Name
+				s, o := ofQuota(got[name], c.customer.Quota.PerSecond, seeds*window)
+				served, owed = served+s, owed+o
+				rates[name] = float64(got[name].all) / (seeds * window).Seconds()
+				weights[name] = c.customer.Quota.PerSecond
+			}
+			service := sim.hosts[0]
+			fair := fairShares(rates, weights, float64(service.count*service.slots)/sim.classes[0].runTime.Seconds())
+			all := served / owed
+			for _, c := range sim.classes {
+				name := c.customer.Name
+				x := got[name]
+				s, o := ofQuota(x, c.customer.Quota.PerSecond, seeds*window)
+				t.Logf("%-11s %5d requests, %.3f served, %.3f in time, %.3f failed, %.3f of those owed, by weight %.3f", name, x.all, x.served(), x.share(x.inTime), x.share(x.failed), s/o, fair[name])
+				if s/o < all/4 {
+					t.Errorf("%.3f of %d requests of customer %s within its quota were served, %.3f of all", s/o, x.all, name, all)
+				}
+				// The operators allow 5 percentage points; the rest is two standard errors.
+				least := fair[name] - 0.05 - 2*math.Sqrt(fair[name]*(1-fair[name])/float64(x.all))
+				if name != "flood" && x.served() < least {
+					t.Errorf("%.3f of %d requests of customer %s were served, want %.3f by its weight, at least %.3f", x.served(), x.all, name, fair[name], least)
+				}
+			}
+			t.Logf("all: %.3f of those owed served", all)
+		})
+	}
+}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -40,6 +40,9 @@
 	duration    time.Duration
 	burst       float64 // factor on the request rate in the middle third
 	bursts      []simBurst
+	clients     map[string]simClients // by the label of their class
+	countFrom   time.Duration         // only requests that begin between countFrom and countTo are counted, unless both are 0
+	countTo     time.Duration
 	cutShare    float64 // fraction of the pairs of nodes that cannot reach each other in the middle third
 	seed        uint64
 	nodes       []*simNode
@@ -95,6 +98,54 @@
 	return c.customer.Name
 }
 
+// simClients describes the clients of a class that do not enter at any node, or
+// that repeat failed requests.
+type simClients struct {
+	zone    string // of the nodes at which they enter; all if empty
+	node    string // at which they enter; all of the zone if empty
+	repeats int    // times that a failed request is repeated at once; these are counted apart
+}
+
+// enter returns a random node at which a request of the class enters.
+func (sim *simulation) enter(c *simClass) *simNode {
+	nodes, at := sim.nodes, sim.clients[c.label()]
+	if at.zone != "" || at.node != "" {
+		nodes = nil
+		for _, n := range sim.nodes {
+			if (at.zone == "" || n.zone == at.zone) && (at.node == "" || n.addr == at.node) {
+				nodes = append(nodes, n)
+			}
+		}
+	}
+	return nodes[int(sim.float()*float64(len(nodes)))]
+}
+
+// makeRequest makes a request of a client, and its repetitions.
+func (sim *simulation) makeRequest(n *simNode, c *simClass) {
+	base := context.Background()
+	for attempt := 0; ; attempt++ {
+		ctx, cancel := context.WithTimeout(base, c.route.Timeout)
+		ok := n.request(ctx, c)
+		cancel()
+		if ok || attempt == sim.clients[c.label()].repeats {
+			return
+		}
+		base = context.WithValue(base, repeatKey{}, true)
+		n = sim.enter(c)
+	}
+}
+
+// repeatKey is the context key of requests that a client repeats.
+type repeatKey struct{}
+
+// tallyIn returns the tally of a request of the class.
+func (sim *simulation) tallyIn(ctx context.Context, c *simClass) *simTally {
+	if ctx.Value(repeatKey{}) != nil {
+		return sim.tallyOf(c.label() + " (repeated)")
+	}
+	return sim.tallyOf(c.label())
+}
+
 // simArrival is a request that arrives at a service, as a first attempt or a
 // retry.
 type simArrival struct {
@@ -366,12 +417,8 @@
 			}
 		}
 		time.Sleep(time.Duration(-math.Log(1-sim.float()) / rate * float64(time.Second)))
-		n := sim.nodes[int(sim.float()*float64(len(sim.nodes)))]
-		callers.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), c.route.Timeout)
-			defer cancel()
-			n.request(ctx, c)
-		})
+		n := sim.enter(c)
+		callers.Go(func() { sim.makeRequest(n, c) })
 	}
 }
 
@@ -391,7 +438,10 @@
 	}
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
-	t := n.sim.tallyOf(c.label())
+	if began := n.sim.fleetNow() - time.Since(start); n.sim.countTo > 0 && (began < n.sim.countFrom || began >= n.sim.countTo) {
+		return err == nil && resp.status == http.StatusOK
+	}
+	t := n.sim.tallyIn(ctx, c)
 	t.all++
 	switch {
 	case err != nil && asResultError(err).Ran == resultcode.RanNo:
@@ -491,7 +541,7 @@
 func (sim *simulation) count(ctx context.Context, update func(*simTally)) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	update(sim.tallyOf(ctx.Value(classKey{}).(*simClass).label()))
+	update(sim.tallyIn(ctx, ctx.Value(classKey{}).(*simClass)))
 }
 
 // retryKey is the context key that tells whether the run that makes a call is a
