admission: count what a customer got started lately for its share

A full line was shared by the places in it alone. One place of a line of about eight is more for the weight of a small customer than all places of a large one, so small customers got next to nothing while a service was short.

The starts of the last 10 s count as well, and a waiter gives way if more has gone before it for its customer's weight than before the new request.

--- a/admission/fairqueue_test.go
+++ b/admission/fairqueue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -58,3 +60,46 @@
 		t.Errorf("%d admitted, %d in line, %d left it", admitted, len(q.waiters), len(q.evicted))
 	}
 }
+
+// Guards against small customers that never get a place, since one place in a
+// short line is more for their weight than all places of a large customer.
+func TestSmallCustomersGetTheirTurn(t *testing.T) {
+	const slotTime = 100 * ms
+	q := newQueue()
+	weights := map[string]float64{"small": 1, "middle": 9, "large": 90}
+	names := slices.Sorted(maps.Keys(weights))
+	started := map[string]int{}
+	for now := time.Duration(0); now < 200*time.Second; now += slotTime {
+		for _, name := range names {
+			req := Request{Customer: name, Weight: weights[name], GoodWait: 500 * ms, MaxWait: 500 * ms}
+			q.add(newWaiter(req, now), now, pace{perPlace: slotTime})
+		}
+		q.evicted = nil
+		name := q.take(0).req.Customer
+		q.usages.recordStart(name, now)
+		started[name]++
+	}
+	// 2,000 starts are owed as 20, 180 and 1,800. A customer may be one request
+	// ahead of its share in each horizon.
+	for name, weight := range weights {
+		if owed := 20 * weight; float64(started[name]) < 0.9*owed || float64(started[name]) > 1.1*owed+20 {
+			t.Errorf("%d requests of customer %s were started, want about %.0f", started[name], name, owed)
+		}
+	}
+}
+
+// Guards against a state that grows with every customer ever seen.
+func TestUsagesAreForgotten(t *testing.T) {
+	var u usages
+	for i := range 10_000 {
+		u.recordStart(fmt.Sprint(i), time.Duration(i)*100*ms)
+	}
+	// Ten starts a second; each counts for 3 horizons, and is found within another.
+	if most := 4 * 10 * int(usageHorizon.Seconds()); len(u.byCustomer) > most {
+		t.Errorf("%d customers are remembered, want at most %d", len(u.byCustomer), most)
+	}
+	u.recordStart("", 0)
+	if _, ok := u.byCustomer[""]; ok {
+		t.Error("requests without a customer are counted")
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -47,6 +47,7 @@
 type queue struct {
 	waiters []*waiter
 	meter   loadMeter
+	usages  usages    // requests that each customer got started lately
 	evicted []*waiter // left the line for requests of other customers and have to be refused
 	bias    float64   // mean ratio of actual to estimated waits, at least 1
 }
