admission: let priority decide within a customer's share

A customer's priority went before all else, so a flood of a customer with priority, or a burst of large ones, left next to nothing for others. And while no request could be promised a start in time nobody waited, so that slots went to whoever asked most often.

The priority of a customer now decides while it has between a half and all of what it is owed by weight. One that has less goes with the first customers in line, one that has more with the last; routes keep their order within that. A customer below its share may wait although it will be late, if nobody waits or it has less than half.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -17,6 +17,15 @@
 	usageHorizon = 10 * time.Second
 	// minUsage is the usage at which a customer is forgotten.
 	minUsage = 0.05
+	// lowShare is the part of what it is owed by weight below which a customer goes
+	// with those of the highest priority. The operators allow no customer to be
+	// served less than a quarter as often as all; it is twice that, since customers
+	// ask for different multiples of their weight.
+	lowShare = 0.5
+	// RoutePriorities is the number of priorities of routes within one of
+	// customers: Request.Priority is that of the customer times RoutePriorities,
+	// plus that of the route, which is less.
+	RoutePriorities = 16
 )
 
 // weight returns the request's share of a service that has too little room, in
@@ -28,47 +37,115 @@
 	return r.Weight
 }
 
-// usages holds how many requests of each customer a target has started lately. Its
-// size is bounded by the number of requests that it starts in a few horizons.
+// usages holds how many requests of each customer a target has started lately.
+// Starts decay over usageHorizon. The size is bounded by the number of requests
+// that the target starts in a few horizons.
 type usages struct {
 	byCustomer map[string]usage
-	sweptAt    time.Duration
+	requests   float64       // of all customers, in the unit of usage.requests
+	weight     float64       // of all customers in byCustomer
+	since      time.Duration // when a start counted 1; later ones count more, instead of decaying earlier ones
 }
 
-// usage is a number of requests, which decays over usageHorizon.
 type usage struct {
 	requests float64
-	at       time.Duration
+	weight   float64
 }
 
-func (u usage) decayed(now time.Duration) float64 {
-	return u.requests * math.Exp(-float64(now-u.at)/float64(usageHorizon))
+// scale returns what a start counts now.
+func (u *usages) scale(now time.Duration) float64 {
+	return math.Exp(float64(now-u.since) / float64(usageHorizon))
 }
 
 // recordStart counts a request that starts. Those without a customer are not
 // counted, as none of them gives way to another.
-func (u *usages) recordStart(customer string, now time.Duration) {
-	if customer == "" {
+func (u *usages) recordStart(req Request, now time.Duration) {
+	if req.Customer == "" {
 		return
 	}
 	if u.byCustomer == nil {
 		u.byCustomer = map[string]usage{}
 	}
-	u.byCustomer[customer] = usage{u.of(customer, now) + 1, now}
-	if now-u.sweptAt < usageHorizon {
-		return
+	if now-u.since >= usageHorizon {
+		u.forget(now)
 	}
-	u.sweptAt = now
+	old, start := u.byCustomer[req.Customer], u.scale(now)
+	u.byCustomer[req.Customer] = usage{old.requests + start, req.weight()}
+	u.requests += start
+	u.weight += req.weight() - old.weight
+}
+
+// forget drops customers without recent starts, and counts anew from now.
+func (u *usages) forget(now time.Duration) {
+	scale := u.scale(now)
+	u.since, u.requests, u.weight = now, 0, 0
 	for name, x := range u.byCustomer {
-		if x.decayed(now) < minUsage {
+		x.requests /= scale
+		if x.requests < minUsage {
 			delete(u.byCustomer, name)
+			continue
 		}
+		u.byCustomer[name] = x
+		u.requests += x.requests
+		u.weight += x.weight
 	}
 }
 
 // of returns the number of requests of the customer that were started lately.
 func (u *usages) of(customer string, now time.Duration) float64 {
-	return u.byCustomer[customer].decayed(now)
+	return u.byCustomer[customer].requests / u.scale(now)
+}
+
+// share returns how much the customer of a request has of what it is owed by
+// weight, if some of its requests are in line: 1 is as much as all customers have
+// on average. It is 1 without a customer, or if none got anything lately.
+func (u *usages) share(req Request, waiting int, now time.Duration) float64 {
+	if req.Customer == "" || u.requests == 0 {
+		return 1
+	}
+	perWeight := u.requests / u.scale(now) / u.weight
+	return (u.of(req.Customer, now) + float64(waiting)) / (perWeight * req.weight())
+}
+
+// share returns how much the request's customer has of what it is owed by weight.
+func (q *queue) share(req Request, now time.Duration) float64 {
+	if req.Customer == "" {
+		return 1
+	}
+	waiting := 0
+	for _, x := range q.waiters {
+		if x.req.Customer == req.Customer {
+			waiting++
+		}
+	}
+	return q.usages.share(req, waiting, now)
+}
+
+// priority returns the priority of a request whose customer has the given part of
+// what it is owed. The customer's priority decides as long as the customer has
+// neither far less nor more than that; otherwise the request goes with the first
+// or the last customers in line. The priority of routes decides among those.
+func (q *queue) priority(req Request, share float64) int {
+	if share >= lowShare && share <= 1 {
+		return req.Priority
+	}
+	customer := req.Priority / RoutePriorities
+	for _, x := range q.waiters {
+		if other := x.req.Priority / RoutePriorities; share < lowShare {
+			customer = min(customer, other)
+		} else {
+			customer = max(customer, other)
+		}
+	}
+	return customer*RoutePriorities + req.Priority%RoutePriorities
+}
+
+// mayBeLate reports whether a request that cannot meet its objective is admitted
+// at the cost of others, since its customer has less than it is owed. While no
+// request can be promised a start in time there is no line, and slots would go to
+// the customer that asks most often.
+func (q *queue) mayBeLate(share float64) bool {
+	return share < lowShare || share < 1 && len(q.waiters) == 0
 }
 
 // makeRoom finds a place for a request that can meet its objective but finds the
@@ -121,7 +198,7 @@
 			shares[x.req.Customer] = s
 		}
 		s.waiting++
-		if x.req.Priority >= w.req.Priority && i < until {
+		if x.priority >= w.priority && i < until {
 			s.last = i
 		}
 	}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -309,7 +309,7 @@
 	g.observeLoad()
 	g.running++
 	g.lastRequest = g.now()
-	g.queue.usages.recordStart(req.Customer, g.now())
+	g.queue.usages.recordStart(req, g.now())
 	r := &Reservation{gate: g, detector: g.detector, zone: req.Zone, start: g.now(), overdueAfter: req.OverdueAfter}
 	if g.detector.Ejected() {
 		r.trial = true
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -13,6 +13,7 @@
 // waiter is a request in line for a slot.
 type waiter struct {
 	req       Request
+	priority  int           // in line; see queue.priority
 	goodUntil time.Duration // latest start with which it probably meets its objective
 	until     time.Duration // latest start that is of any use
 	late      bool          // its place is by until, since it cannot meet its objective
@@ -23,7 +24,7 @@
 }
 
 func newWaiter(req Request, now time.Duration) *waiter {
-	return &waiter{req: req, arrived: now, goodUntil: now + min(req.GoodWait, req.MaxWait), until: now + req.MaxWait, done: make(chan decision, 1)}
+	return &waiter{req: req, priority: req.Priority, arrived: now, goodUntil: now + min(req.GoodWait, req.MaxWait), until: now + req.MaxWait, done: make(chan decision, 1)}
 }
 
 // due returns the latest start that the queue has promised the request.
@@ -76,6 +77,8 @@
 		return false
 	}
 	q.demoteLate(now)
+	share := q.share(w.req, now)
+	w.priority = q.priority(w.req, share)
 	w.late = w.goodUntil <= now
 	at := q.place(w)
 	if !w.late && !q.fits(w, at, now, p) {
@@ -84,7 +87,10 @@
 	}
 	if w.late && !(q.fits(w, at, now, p) && (w.req.LostPlace || q.foreseesRoom(w, p))) {
 		if at = q.makeRoom(w, now, p); at < 0 {
-			return false
+			w.late = true
+			if at = q.place(w); !q.mayBeLate(share) || !q.fits(w, at, now, p) {
+				return false
+			}
 		}
 	}
 	q.insert(w, at)
@@ -106,8 +112,8 @@
 
 // before reports whether the request goes before another one that came earlier.
 func (w *waiter) before(x *waiter) bool {
-	if w.req.Priority != x.req.Priority {
-		return w.req.Priority < x.req.Priority
+	if w.priority != x.priority {
+		return w.priority < x.priority
 	}
 	return w.due() < x.due()
 }
@@ -128,7 +134,7 @@
 	if w.req.LostPlace {
 		return true
 	}
-	for i := at; i < len(q.waiters) && q.waiters[i].req.Priority == w.req.Priority; i++ {
+	for i := at; i < len(q.waiters) && q.waiters[i].priority == w.priority; i++ {
 		left := q.waiters[i].due() - now
 		if q.wait(i, p) <= left && q.wait(i+1, p) > left {
 			return false
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -3,21 +3,18 @@
 import (
 	"net/http"
 
+	"hyssopbridge/admission"
 	"hyssopbridge/config/dynamic"
 	"hyssopbridge/resultcode"
 )
 
-// routePriorities is the number of priorities of routes that are told apart
-// within one priority of customers.
-const routePriorities = 16
-
 // priority returns the rank of the request in queues: by its customer, then by
 // its route. 0 is the most urgent.
 func (q *request) priority(route *dynamic.Route) int {
 	if q.customer == nil {
 		return route.Priority
 	}
-	return q.customer.Priority*routePriorities + min(route.Priority, routePriorities-1)
+	return q.customer.Priority*admission.RoutePriorities + min(route.Priority, admission.RoutePriorities-1)
 }
 
 // customerName returns the name of the request's customer, or "".
