config/dynamic: weigh customers without a quota by the median quota

A customer without a quota weighed 1 beside others that weigh their rate in requests a second, so it got next to nothing while a service was short. It now weighs the median rate of those with a quota. Requests without a customer, such as calls of targets, weighed 1 as well; they now keep up to half of a full line.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -184,9 +184,12 @@
 // customer's weight. Only waiters of the request's priority or a lower one and
 // before index until leave the line. It returns -1 if none has more before it than
 // the request itself.
+//
+// Requests without a customer, such as calls of targets, keep up to half of the
+// line: they are no single customer's, and a run whose call is refused is lost.
 func (q *queue) mostOverShare(w *waiter, until int, now time.Duration) int {
 	type share struct {
-		waiting int
+		waiting float64
 		weight  float64
 		last    int // index of the last waiter that may leave the line; -1 for none
 	}
@@ -202,16 +205,23 @@
 			s.last = i
 		}
 	}
-	own := q.usages.of(w.req.Customer, now)
-	if s := shares[w.req.Customer]; s != nil {
-		own += float64(s.waiting)
+	own := shares[w.req.Customer]
+	if own == nil {
+		own = &share{weight: w.req.weight(), last: -1}
+		shares[w.req.Customer] = own
+	}
+	if w.req.Customer == "" && own.waiting+1 > float64(len(q.waiters))/2 {
+		return -1
+	}
+	most, last := (q.usages.of(w.req.Customer, now)+own.waiting)/own.weight, -1
+	if w.req.Customer == "" {
+		most = 0
 	}
-	most, last := own/w.req.weight(), -1
 	for name, s := range shares {
-		if name == w.req.Customer || s.last < 0 {
+		if name == w.req.Customer || s.last < 0 || name == "" && s.waiting <= float64(len(q.waiters))/2 {
 			continue
 		}
-		before := (q.usages.of(name, now) + float64(s.waiting-1)) / s.weight
+		before := (q.usages.of(name, now) + s.waiting - 1) / s.weight
 		if before > most || last >= 0 && before == most && s.last > last {
 			most, last = before, s.last
 		}
--- a/admission/fairqueue_test.go
+++ b/admission/fairqueue_test.go
@@ -161,3 +161,19 @@
 		t.Error("a customer with less than its share was refused")
 	}
 }
+
+// Guards against calls of targets, which have no customer, that leave the line for
+// the first customers that ask, whose weights are in requests per second.
+func TestCallsKeepHalfOfTheLine(t *testing.T) {
+	q := newQueue()
+	for range 100 {
+		fromCustomer(&q, "", 0)
+	}
+	full := len(q.waiters)
+	for i := range 100 {
+		fromCustomer(&q, fmt.Sprint("customer ", i%20), 30)
+	}
+	if calls := places(&q, ""); calls < full/2 || calls == full {
+		t.Errorf("calls hold %d of %d places, want more than half but not all", calls, full)
+	}
+}
--- a/config/dynamic/customer.go
+++ b/config/dynamic/customer.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Customer is an account whose callers identify themselves by a key.
@@ -12,6 +13,35 @@
 	Keys     []string // each belongs to one customer only
 	Priority int      // 0 is the highest; goes before the priority of routes
 	Quota    Quota
+
+	defaultWeight float64 // Weight without a quota
+}
+
+// Weight returns the customer's share of a service that has too little room, in
+// relation to those of other customers of the configuration: the rate of its
+// quota, which tells a large customer from one that floods. Without a quota it is
+// the median rate of those with one. It is 0 if no customer has a quota, or if
+// the customer is not of a configuration.
+func (c *Customer) Weight() float64 {
+	if c.Quota.Limited() {
+		return c.Quota.PerSecond
+	}
+	return c.defaultWeight
+}
+
+// medianRate returns the median rate of the quotas, and 0 if there are none.
+func medianRate(customers []Customer) float64 {
+	var rates []float64
+	for i := range customers {
+		if q := customers[i].Quota; q.Limited() {
+			rates = append(rates, q.PerSecond)
+		}
+	}
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
 }
 
 // Quota bounds the requests of one customer at all nodes together. There is no
@@ -38,9 +68,11 @@
 	}
 	c.customers = make(map[keyHash]*Customer, len(customers))
 	names := make(map[string]bool, len(customers))
+	defaultWeight := medianRate(customers)
 	var errs []error
 	for i := range customers {
 		customer := customers[i]
+		customer.defaultWeight = defaultWeight
 		keys := customer.Keys
 		customer.Keys = nil
 		switch {
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -26,13 +26,12 @@
 }
 
 // weight returns the share of the request's customer when a service has too little
-// room: its agreed rate, which tells a large customer from one that floods. It is
-// 0 if there is none.
+// room, and 0 if there is none.
 func (q *request) weight() float64 {
 	if q.customer == nil {
 		return 0
 	}
-	return q.customer.Quota.PerSecond
+	return q.customer.Weight()
 }
 
 // identify returns the customer that holds the request's key, or nil if callers
