--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -210,6 +210,7 @@
 	announced     chan struct{}
 	joined        time.Duration // when the target began to serve
 	firstRun      time.Duration // when it got its first request; 0 if it got none
+	runs          int           // requests that it got between simulation.countFrom and countTo
 }
 
 // inGrayFailure reports whether the target is failing at the given time.
@@ -387,12 +388,16 @@
 	return sim.fleetNow() > third && sim.fleetNow() < 2*third
 }
 
-// recordRun records when the target got its first request.
+// recordRun records that the target got a request.
 func (n *simNode) recordRun() {
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
+	now := n.sim.fleetNow()
 	if n.firstRun == 0 {
-		n.firstRun = n.sim.fleetNow()
+		n.firstRun = now
+	}
+	if now >= n.sim.countFrom && now < n.sim.countTo {
+		n.runs++
 	}
 }
 
