admission: refuse a flood at once rather than after a wait

While demand stays above capacity, those of a customer with over 1.2 of what it is owed are now refused at once.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -22,6 +22,11 @@
 	// served less than a quarter as often as all; it is twice that, since customers
 	// ask for different multiples of their weight.
 	lowShare = 0.5
+	// overShare is the part of what it is owed above which a customer's requests are
+	// refused at once while demand stays above capacity. With 1 lines are too
+	// short for their customers' chance shares, and 3 to 5 percentage points fewer
+	// are served.
+	overShare = 1.2
 	// RoutePriorities is the number of priorities of routes within one of
 	// customers: Request.Priority is that of the customer times RoutePriorities,
 	// plus that of the route, which is less.
--- a/admission/fairqueue_test.go
+++ b/admission/fairqueue_test.go
@@ -121,7 +121,7 @@
 	const route = 3
 	add := func(customer string, priority int) {
 		req := Request{Customer: customer, Priority: priority*RoutePriorities + route, GoodWait: time.Second, MaxWait: time.Second}
-		if !q.add(newWaiter(req, 0), 0, pace{perPlace: ms}) {
+		if !q.add(newWaiter(req, 0), 0, pace{perPlace: ms, spare: 1}) {
 			t.Errorf("the request of customer %s was refused", customer)
 		}
 	}
@@ -177,3 +177,30 @@
 		t.Errorf("calls hold %d of %d places, want more than half but not all", calls, full)
 	}
 }
+
+// Guards against requests of a flood that wait until they have to give way, and
+// against a customer that is refused for a burst while there is room.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		spare float64
+		flood bool
+	}{{0, false}, {0.5, true}} {
+		q := newQueue()
+		for range 7 {
+			q.usages.recordStart(Request{Customer: "flood"}, 0)
+		}
+		for range 3 {
+			q.usages.recordStart(Request{Customer: "usual"}, 0)
+		}
+		add := func(customer string) bool {
+			req := Request{Customer: customer, GoodWait: time.Second, MaxWait: time.Second}
+			return q.add(newWaiter(req, 0), 0, pace{perPlace: 100 * ms, spare: c.spare})
+		}
+		if got := add("flood"); got != c.flood {
+			t.Errorf("with %.1f of the capacity usually free: request of the flood admitted: %v, want %v", c.spare, got, c.flood)
+		}
+		if !add("usual") {
+			t.Errorf("with %.1f of the capacity usually free: request of the other customer refused", c.spare)
+		}
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -79,6 +79,9 @@
 	q.demoteLate(now)
 	share := q.share(w.req, now)
 	w.priority = q.priority(w.req, share)
+	if share > overShare && !w.req.LostPlace && !q.foreseesRoom(w, p) {
+		return false // it would have to give way later
+	}
 	w.late = w.goodUntil <= now
 	at := q.place(w)
 	if !w.late && !q.fits(w, at, now, p) {
