--- a/mesh/fairshare_load_test.go
+++ b/mesh/fairshare_load_test.go
@@ -198,3 +198,30 @@
 		})
 	}
 }
+
+// Guards against customers that are refused for their share in a burst that the
+// service can serve before their deadlines. It is the burst of
+// TestShortBurstLosesNothing, from customers of 1 to 40% of the load that use
+// different parts of their quotas.
+func TestShortBurstOfCustomersLosesNothing(t *testing.T) {
+	t.Parallel()
+	sim := burstLoad(1, 7*time.Second)
+	order := sim.classes[1]
+	sim.classes = sim.classes[:1]
+	for i, c := range fairShareCustomers {
+		one := order
+		one.rate = order.rate * c.percent / 100
+		used := []float64{0.3, 0.6, 0.9}[i%3]
+		one.customer = &dynamic.Customer{Name: c.name, Quota: dynamic.Quota{PerSecond: one.rate / used}}
+		sim.classes = append(sim.classes, one)
+	}
+	orders := &simTally{}
+	for name, x := range sim.run(t) {
+		if name != "lookup" {
+			orders.add(x)
+		}
+	}
+	if refused := orders.share(orders.refused); refused > 0.01 {
+		t.Errorf("%.3f of %d orders were refused", refused, orders.all)
+	}
+}
