--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -3,21 +3,18 @@
 import (
 	"net/http"
 
+	"hyssopbridge/admission"
 	"hyssopbridge/config/dynamic"
 	"hyssopbridge/resultcode"
 )
 
-// routePriorities is the number of priorities of routes that are told apart
-// within one priority of customers.
-const routePriorities = 16
-
 // priority returns the rank of the request in queues: by its customer, then by
 // its route. 0 is the most urgent.
 func (q *request) priority(route *dynamic.Route) int {
 	if q.customer == nil {
 		return route.Priority
 	}
-	return q.customer.Priority*routePriorities + min(route.Priority, routePriorities-1)
+	return q.customer.Priority*admission.RoutePriorities + min(route.Priority, admission.RoutePriorities-1)
 }
 
 // customerName returns the name of the request's customer, or "".
@@ -29,13 +26,12 @@
 }
 
 // weight returns the share of the request's customer when a service has too little
-// room: its agreed rate, which tells a large customer from one that floods. It is
-// 0 if there is none.
+// room, and 0 if there is none.
 func (q *request) weight() float64 {
 	if q.customer == nil {
 		return 0
 	}
-	return q.customer.Quota.PerSecond
+	return q.customer.Weight()
 }
 
 // identify returns the customer that holds the request's key, or nil if callers
