--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -49,6 +49,11 @@
 	tally       map[string]*simTally
 	arrivals    map[string][]simArrival // by service
 	fleetNow    func() time.Duration
+	// returning makes each caller that is refused come back once, at the time
+	// that its Retry-After states, if its deadline leaves time for a run then.
+	returning bool
+	away      int           // callers that were refused and can still be served
+	idleRoom  time.Duration // slot time that lay idle while callers were away
 }
 
 // failureMode is how a target in gray failure fails.
@@ -143,6 +148,9 @@
 	queued                             int // reservations that had to wait in line
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
+	sentAway                           int // callers that were refused at their first request
+	returned, returnServed             int // those that came back at the stated time, and were served then
+	returnRefused                      int // those that were refused again
 }
 
 type simNode struct {
@@ -247,6 +255,9 @@
 			wait.Go(func() { n.sendHeartbeats(ctx) })
 		}
 		time.Sleep(time.Second)
+		if sim.returning {
+			wait.Go(func() { sim.measureIdleRoom(ctx) })
+		}
 		var callers sync.WaitGroup
 		for i := range sim.classes {
 			if sim.classes[i].rate > 0 {
@@ -370,14 +381,75 @@
 		callers.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), c.route.Timeout)
 			defer cancel()
-			n.request(ctx, c)
+			if got := n.request(ctx, c); got.refused && sim.returning {
+				sim.returnLater(ctx, c, got.retryAfter)
+			}
 		})
 	}
 }
 
-// request makes a request at the node and counts its outcome. It reports
-// success.
-func (n *simNode) request(ctx context.Context, c *simClass) bool {
+// returnLater sends the request of a caller that was refused once more, at any
+// node. A caller that cannot be served at the stated time gives up when there is
+// no time left for a run.
+func (sim *simulation) returnLater(ctx context.Context, c *simClass, after time.Duration) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline) - c.runTime
+	comesBack := after < left
+	sim.countAway(c, 1, func(t *simTally) { t.sentAway++ })
+	time.Sleep(max(0, min(after, left)))
+	sim.countAway(c, -1, func(*simTally) {})
+	if !comesBack {
+		return
+	}
+	got := sim.nodes[int(sim.float()*float64(len(sim.nodes)))].request(ctx, c)
+	sim.countAway(c, 0, func(t *simTally) {
+		t.returned++
+		switch {
+		case got.ok:
+			t.returnServed++
+		case got.refused:
+			t.returnRefused++
+		}
+	})
+}
+
+// countAway changes the number of callers that are away and updates the tally of
+// the class.
+func (sim *simulation) countAway(c *simClass, n int, update func(*simTally)) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.away += n
+	update(sim.tallyOf(c.label()))
+}
+
+// idleRoomInterval is the interval at which free slots are counted.
+const idleRoomInterval = 20 * time.Millisecond
+
+// measureIdleRoom sums up the free slots of targets that would serve a request, at
+// most one for each caller that is away.
+func (sim *simulation) measureIdleRoom(ctx context.Context) {
+	for sleepFor(ctx, idleRoomInterval) {
+		free := 0
+		for _, n := range sim.nodes {
+			if s := n.gate.Status(); !n.inGrayFailure(sim.fleetNow()) && !s.Ejected && s.Phase == admission.Serving {
+				free += max(0, s.Slots-s.Running)
+			}
+		}
+		sim.mu.Lock()
+		sim.idleRoom += time.Duration(min(free, sim.away)) * idleRoomInterval
+		sim.mu.Unlock()
+	}
+}
+
+// simOutcome is what the caller of a request gets.
+type simOutcome struct {
+	ok         bool
+	refused    bool          // the request was not run
+	retryAfter time.Duration // set if refused
+}
+
+// request makes a request at the node and counts its outcome.
+func (n *simNode) request(ctx context.Context, c *simClass) simOutcome {
 	start := time.Now()
 	until, _ := ctx.Deadline()
 	q := &request{id: "r", method: http.MethodGet, header: http.Header{}, idempotent: c.route.Idempotent, customer: c.customer, deadline: deadlineIn(time.Until(until), n.sim.fleetNow)}
@@ -389,12 +461,16 @@
 	if q.fromRunProb > likelyNested && (err != nil || isErrorResponse(resp)) {
 		n.outboundCalls.recordFailure()
 	}
+	got := simOutcome{ok: err == nil && resp.status == http.StatusOK, refused: err != nil && asResultError(err).Ran == resultcode.RanNo}
+	if got.refused {
+		got.retryAfter = n.dispatcher.retryAfter(&c.route, service)
+	}
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
 	t := n.sim.tallyOf(c.label())
 	t.all++
 	switch {
-	case err != nil && asResultError(err).Ran == resultcode.RanNo:
+	case got.refused:
 		t.refused++
 		t.refusedAfter = append(t.refusedAfter, time.Since(start))
 	case err != nil || resp.status != http.StatusOK:
@@ -404,7 +480,7 @@
 	default:
 		t.inTime++
 	}
-	return err == nil && resp.status == http.StatusOK
+	return got
 }
 
 func (sim *simulation) tallyOf(route string) *simTally {
@@ -542,7 +618,7 @@
 func (n *simNode) call(ctx context.Context, c *simClass) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.route.Timeout)
 	defer cancel()
-	return n.request(ctx, c)
+	return n.request(ctx, c).ok
 }
 
 func (sim *simulation) class(name string) *simClass {
