mesh: derive Retry-After from the room that is foreseen

Cause: a refused caller was told to come back when the queues were empty, at the latest after 5 s, and at random up to twice that. All callers that were refused in a long burst so came back into it; where targets had no room for lack of retry budget or health, the queues said nothing, or counted only the few targets that were healthy.

Change: RoomFor counts targets that are ejected from the end of their next trial on, and the requests that look for a target at entry nodes while most targets are ejected. A node tells the callers that it refuses one time after the other, by the part of the slots that its own requests get, up to 20 s. A caller refused for lack of retry budget comes back when there is budget, but no later than 0.3 of the objective, and at once if targets accept a third of the first attempts, which need no budget.

--- a/mesh/budgetwait.go
+++ b/mesh/budgetwait.go
@@ -44,8 +44,12 @@
 	dropped  chan struct{} // closed when budget will no longer come in time
 }
 
-// budgetWindow is the window of the retry budgets.
-const budgetWindow = 10 * time.Second
+// budgetWindow is the window of the retry budgets, and budgetStep the length of
+// the parts in which it moves.
+const (
+	budgetWindow = 10 * time.Second
+	budgetStep   = time.Second
+)
 
 const (
 	// budgetPollShare is the pause between the questions of the first waiting
@@ -219,6 +223,20 @@
 	return q.window.RemainingAt(now, until) + windows*q.window.Allowance(now) - q.usedByOthers
 }
 
+// timeToBudget returns after what time this node probably has retry budget for one
+// more request than those that wait for it, at most the length of a window.
+func (b *budgetQueues) timeToBudget(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q, now := b.queue(service), b.now()
+	b.configure(q)
+	wait := time.Duration(0)
+	for wait < budgetWindow && q.retriesUntil(now+wait, now) < float64(len(q.waiters)+1) {
+		wait += budgetStep
+	}
+	return wait
+}
+
 // configure sets the part of the allowance that this node probably gets for late
 // requests: by its requests, and equal parts of the slack.
 func (b *budgetQueues) configure(q *budgetQueue) {
--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -23,7 +23,13 @@
 	budgetQueues *budgetQueues
 	log          *eventLog
 	metrics      *metrics
-	stopping     context.Context // ends when requests may no longer wait for a target; nil for never
+	// slotReturns and budgetReturns are when callers come back that were refused
+	// for lack of a target with room and for lack of retry budget.
+	slotReturns, budgetReturns returnTimes
+	acceptance                 acceptance
+	searches                   searches
+
+	stopping context.Context // ends when requests may no longer wait for a target; nil for never
 }
 
 // stopWaiting returns the context that ends when requests may no longer wait.
@@ -180,6 +186,7 @@
 	defer c.d.view.End(t.addr)
 	start := time.Now()
 	resp, err := t.run(ctx, c.q)
+	c.d.acceptance.record(c.service, err != nil && asResultError(err).Code == resultcode.ShedByTarget)
 	if err == nil && resp.status < http.StatusInternalServerError {
 		c.d.latencies.observe(c.route, time.Since(start))
 	}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -123,7 +123,7 @@
 		e.outboundCalls.recordFailure()
 	}
 	if err != nil {
-		return refusedError{err, e.dispatcher.retryAfter(route, service)}
+		return refusedError{err, e.dispatcher.retryAfter(route, service, err)}
 	}
 	defer resp.close()
 	if err := writeResponse(w, r, resp); err != nil {
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -64,6 +64,8 @@
 // request since the last attempt. A request whose attempt took long still gets
 // c.retryRounds rounds.
 func (c *call) reserveTarget() (reservedTarget, error) {
+	c.d.searches.add(c.service, 1)
+	defer c.d.searches.add(c.service, -1)
 	if c.mayAwaitBudget() && !c.isUrgentRetry() && c.d.budgetQueues.waiting(c.service) {
 		return c.awaitedTarget()
 	}
@@ -270,8 +272,10 @@
 		go c.watchHost(ctx, cand.Addr, cancel)
 	}
 	c.d.view.Queued(cand.Addr)
+	c.d.searches.add(c.service, -1)
 	start := time.Now()
 	t, reason, ok := c.reserveIn(ctx, cand, req)
+	c.d.searches.add(c.service, 1)
 	waited := time.Since(start)
 	switch {
 	case waited < roundPause: // answered without a wait
--- a/mesh/retryafter.go
+++ b/mesh/retryafter.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"hyssopbridge/config/dynamic"
+	"hyssopbridge/resultcode"
 )
 
 const (
@@ -13,9 +15,10 @@
 	// refused, if nothing is known of the service's queues. In this time most
 	// ejected targets return.
 	defaultRetryAfter = 300 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the suggested wait.
+	// minRetryAfter and maxRetryAfter bound the suggested wait. Failures and loads
+	// last for seconds, so what is known now says little of later times.
 	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	maxRetryAfter = 20 * time.Second
 )
 
 // refusedError is the error of a request for which the dispatcher got no
@@ -40,14 +43,107 @@
 	return defaultRetryAfter
 }
 
-// retryAfter returns when a caller whose request was refused may try again: after
-// the time that the queues of the service need, and up to twice that, so that
-// callers which are refused together return one after the other.
-func (d *dispatcher) retryAfter(route *dynamic.Route, service string) time.Duration {
-	wait, ok := d.view.TimeToSlot(service, d.latencies.expected(route))
-	if !ok {
-		wait = defaultRetryAfter
+// returnTimes holds the time at which the caller that was refused last was told to
+// come back, by service, for one cause of refusal.
+type returnTimes struct {
+	mu        sync.Mutex
+	byService map[string]time.Time
+}
+
+// next returns after what time the next caller may come back: after wait, and a
+// mean time of gap behind the one before, up to maxRetryAfter.
+func (r *returnTimes) next(service string, wait, gap time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byService == nil {
+		r.byService = map[string]time.Time{}
+	}
+	now := time.Now()
+	wait = max(wait, r.byService[service].Sub(now))
+	if gap > 0 {
+		// Random gaps keep the callers of different nodes from returning together.
+		wait += time.Duration(rand.Int64N(int64(2 * gap)))
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(rand.Int64N(int64(wait)))
+	r.byService[service] = now.Add(wait)
+	return wait
+}
+
+// searches counts the requests of this node that look for a target of a service
+// without a place in line at a host: while no target is healthy, that is where a
+// service's requests wait.
+type searches struct {
+	mu        sync.Mutex
+	byService map[string]int
+}
+
+// add changes the count of a service.
+func (s *searches) add(service string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byService == nil {
+		s.byService = map[string]int{}
+	}
+	s.byService[service] += n
+}
+
+func (s *searches) count(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byService[service]
+}
+
+// acceptance learns for each service what fraction of the requests that reach a
+// target it accepts; it sheds the others.
+type acceptance struct {
+	mu     sync.Mutex
+	shedBy map[string]float64 // moving average of the fraction that is shed
+}
+
+const (
+	// acceptanceWeight is the weight of one request in acceptance.shedBy.
+	acceptanceWeight = 0.1
+	// likelyAccepted is the fraction from which on a request that comes back needs
+	// no retry budget in most cases.
+	likelyAccepted = 1.0 / 3
+)
+
+// record counts a request that reached a target of the service.
+func (a *acceptance) record(service string, shed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.shedBy == nil {
+		a.shedBy = map[string]float64{}
+	}
+	now := 0.0
+	if shed {
+		now = 1
+	}
+	a.shedBy[service] += acceptanceWeight * (now - a.shedBy[service])
+}
+
+// share returns the fraction of requests that targets of the service accept.
+func (a *acceptance) share(service string) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return 1 - a.shedBy[service]
+}
+
+// retryAfter returns when a caller whose request was refused for a reason may try
+// again: when the retry budget, or a target of the service, is expected to have
+// room for it, behind the callers that this node has sent away before. The first
+// attempt of a request that comes back needs no budget, so the budget counts only
+// where targets shed most requests. What makes them shed ends at a time that is
+// not known, so a caller waits for budget no longer than it can and probably still
+// be served within its objective.
+func (d *dispatcher) retryAfter(route *dynamic.Route, service string, reason error) time.Duration {
+	room, ok := d.view.RoomFor(service, d.latencies.expected(route), d.searches.count(service))
+	if !ok {
+		return defaultRetryAfter + time.Duration(rand.Int64N(int64(defaultRetryAfter)))
+	}
+	if asResultError(reason).Code == resultcode.RetryBudgetSpent && d.acceptance.share(service) < likelyAccepted {
+		wait := min(d.budgetQueues.timeToBudget(service), time.Duration(minWaitShare*float64(route.Objective)))
+		return d.budgetReturns.next(service, max(wait, room.Wait), room.Gap)
+	}
+	return d.slotReturns.next(service, room.Wait, room.Gap)
 }
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -1,32 +1,82 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"hyssopbridge/admission"
 )
 
-// TimeToSlot estimates when the service would have a slot for a request that is
-// refused now, if requests run for runTime on average: after the requests that
-// run or wait beyond the slots of the healthy targets have ended. ok is false if
-// no target of the service is known to be healthy.
-func (v *View) TimeToSlot(service string, runTime time.Duration) (wait time.Duration, ok bool) {
+// Room is what is known of the time at which a service has a slot for a request
+// that is refused now.
+type Room struct {
+	Wait time.Duration // until the requests ahead have their slots
+	Gap  time.Duration // mean time between two slots for requests of this node
+}
+
+// RoomFor estimates when the service has a slot for a request that is refused
+// now, if requests run for runTime on average: when the slots of its targets have
+// served those that run or wait beyond them. While most slots are at ejected
+// targets, requests wait at entry nodes instead: searching is the number of those
+// that look for a target at this node. An ejected target counts from the end of
+// its next trial request on. ok is false if no target is known.
+func (v *View) RoomFor(service string, runTime time.Duration, searching int) (room Room, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	slots, ahead := 0, 0
+	now := v.now()
+	var from []slotsFrom
+	slots, ejected, ahead, running, own := 0, 0, 1, 0, 0
 	for _, h := range v.byService[service] {
 		s := &h.status
-		if s.Phase != admission.Serving || s.Stopping || s.Ejected {
+		if s.Phase != admission.Serving || s.Stopping || s.Slots <= 0 {
 			continue
 		}
 		slots += s.Slots
+		running += s.Running
+		own += h.inFlight
+		if s.Ejected {
+			ejected += s.Slots
+			from = append(from, slotsFrom{max(0, s.TrialIn-(now-h.statusAt)) + runTime, s.Slots})
+			continue
+		}
 		ahead += s.Running + s.Waiting
+		// The slots' first requests start at once.
+		from = append(from, slotsFrom{-runTime, s.Slots})
 	}
 	if slots == 0 {
-		return 0, false
+		return Room{}, false
+	}
+	share := max(float64(own)/float64(max(1, running)), 1/float64(max(1, len(v.hosts))))
+	room.Gap = time.Duration(float64(runTime) / (min(1, share) * float64(slots)))
+	if 2*ejected > slots {
+		ahead += int(float64(searching) / min(1, share))
+	}
+	room.Wait = max(0, timeToServe(from, ahead, runTime))
+	return room, true
+}
+
+// slotsFrom is a number of slots that serve requests from a time on.
+type slotsFrom struct {
+	from  time.Duration
+	slots int
+}
+
+// timeToServe returns when slots have served a number of requests of runTime each.
+func timeToServe(list []slotsFrom, requests int, runTime time.Duration) time.Duration {
+	slices.SortFunc(list, func(a, b slotsFrom) int { return cmp.Compare(a.from, b.from) })
+	left := float64(requests) * runTime.Seconds() // slot time, in seconds
+	slots, at := 0, list[0].from
+	for _, next := range list {
+		served := float64(slots) * (next.from - at).Seconds()
+		if served >= left {
+			break
+		}
+		left -= served
+		at = next.from
+		slots += next.slots
 	}
-	return runTime * time.Duration(max(0, ahead+1-slots)) / time.Duration(slots), true
+	return at + time.Duration(left/float64(slots)*float64(time.Second))
 }
 
 // waitHoldShare is the fraction of the wait that a host stated for which it
