admission, placement, mesh: send first where targets reject least

Cause: a target that rejects a part of its requests at once keeps most of its slots free, so placement by load prefers it.

Change: each host node learns which share of recent sends its target rejected, as a decayed mean with a time constant of 0.8 s that falls with 2 s while nothing is sent. The status states it (decoded as 0 where it is missing), a sudden rise is announced at once, and entry nodes add three times the share to the score within a class. A rejection is an outcome of its own, counted as such in mesh_target_answers_total.

--- a/admission/detector.go
+++ b/admission/detector.go
@@ -7,12 +7,13 @@
 
 // Outcomes of requests.
 const (
-	Neutral        Outcome = iota // inconclusive: canceled by the caller, or shed by the target
+	Neutral        Outcome = iota // inconclusive: canceled by the caller
 	Success                       // complete response that matches the request
 	ServerError                   // the target responded with a server error
 	TransportError                // no connection, or the response was reset, cut off or malformed
 	Timeout                       // no response within the request's time limit
 	CallFailed                    // inconclusive: a server error, probably because a call that the target made failed
+	Rejected                      // inconclusive: the target stated that it did not run the request
 )
 
 // DetectorConfig holds the parameters of a Detector.
@@ -130,7 +131,7 @@
 func (d *Detector) Observe(o Outcome, zone string, start, now time.Duration) (changed bool) {
 	before := d.Ejected()
 	d.observeState(o, start, now)
-	if o != Success && o != Neutral && o != CallFailed {
+	if o != Success && o != Neutral && o != CallFailed && o != Rejected {
 		d.recordFailureTime(now - start)
 	}
 	switch o {
@@ -246,7 +247,7 @@
 	d.needed = max(d.needed, needed)
 }
 
-var outcomeNames = [...]string{"neutral", "good", "error_answer", "broken", "silent", "call_failed"}
+var outcomeNames = [...]string{"neutral", "good", "error_answer", "broken", "silent", "call_failed", "rejected"}
 
 // String returns the name used in logs and metrics.
 func (o Outcome) String() string {
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -106,6 +106,7 @@
 	TrialIn             time.Duration // time until the next trial request is due, if Ejected
 	Tested              bool          // a request has succeeded since the target became known
 	Risk                float64       // probability that a request sent now fails because of a gray failure
+	Rejects             float64       // fraction of its recent requests that the target itself rejected
 	Idle                time.Duration // time since the target got its newest request
 	AdmitsRetries       bool          // a retry would be admitted
 	AdmitsUrgentRetries bool          // the same for Request.Urgent
@@ -138,6 +139,10 @@
 	holdTime      time.Duration  // moving average of the time that a request holds its slot
 	overdueFactor float64        // factor on Request.OverdueAfter for this target
 	lastRequest   time.Duration  // when the target got its newest request or became known
+	rejections    rejectionMeter
+	// announcedRejects is the share of rejections that was announced at announcedAt.
+	announcedRejects float64
+	announcedAt      time.Duration
 }
 
 // decision is the answer to a request that waited for a slot.
@@ -166,6 +171,7 @@
 	if t.ID != g.target.ID {
 		g.detector, g.overdueFactor = NewDetector(g.detectorCfg), 1
 		g.lastRequest = g.now()
+		g.rejections = rejectionMeter{}
 	}
 	changed := t.ID != g.target.ID || t.Phase != g.target.Phase || t.Service != g.target.Service
 	g.target = t
@@ -184,6 +190,7 @@
 func (g *Gate) Restart() {
 	g.mu.Lock()
 	g.detector, g.overdueFactor = NewDetector(g.detectorCfg), 1
+	g.rejections = rejectionMeter{}
 	g.mu.Unlock()
 }
 
@@ -475,7 +482,7 @@
 		Ejected: g.detector.Ejected(), Recovering: g.detector.Recovering(), Cold: now < g.coldUntil, Slots: g.target.Slots,
 		Running: g.running, Waiting: len(g.queue.waiters), Wait: g.expectedWait(now),
 		TrialIn: g.detector.TrialIn(now), Tested: g.detector.Tested(), Idle: g.idle(now),
-		Risk: g.grayRisk(now),
+		Risk: g.grayRisk(now), Rejects: g.rejections.share(now),
 	}
 }
 
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -72,6 +72,7 @@
 	}
 	if reason == None {
 		r.sent = true
+		r.gate.rejections.observeSend(r.start)
 		r.gate.open = append(r.gate.open, r)
 	}
 	r.gate.mu.Unlock()
@@ -165,6 +166,7 @@
 	g.observeLoad()
 	g.running--
 	g.open = slices.DeleteFunc(g.open, func(x *Reservation) bool { return x == r })
+	rejectsMore := o == Rejected && r.sent && r.detector == g.detector && g.observeRejection(r, now)
 	wasRecovering := r.detector.Recovering()
 	changed := g.recordOutcome(r, o, now) && r.detector == g.detector
 	startedRecovering := !wasRecovering && r.detector.Recovering() && r.detector == g.detector
@@ -176,11 +178,33 @@
 	}
 	g.dispatch()
 	g.mu.Unlock()
-	if changed || startedRecovering {
+	if changed || startedRecovering || rejectsMore {
 		g.onChange()
 	}
 }
 
+const (
+	// announcedRise is by how much the share of rejected requests must have risen
+	// above the one that was announced to be announced at once.
+	announcedRise = 0.15
+	// announceInterval is the shortest time between two such announcements.
+	announceInterval = 250 * time.Millisecond
+)
+
+// observeRejection learns that the target rejected the request. It reports
+// whether other nodes should learn it at once: until they do, each of them sends
+// requests to the target to find out.
+func (g *Gate) observeRejection(r *Reservation, now time.Duration) bool {
+	g.rejections.observeRejection(r.start, now)
+	share := g.rejections.share(now)
+	sinceAnnounced := now - g.announcedAt
+	if share < RejectsAfter(g.announcedRejects, sinceAnnounced)+announcedRise || g.announcedRejects > 0 && sinceAnnounced < announceInterval {
+		return false
+	}
+	g.announcedRejects, g.announcedAt = share, now
+	return true
+}
+
 const (
 	// coldOverdueFactor multiplies the overdue times of a target in its cold start.
 	coldOverdueFactor = 2
--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -27,6 +27,27 @@
 	// RetryCalls is in tenths.
 	RetryCalls int64
 	Wait       int64
+	Rejects    int64 // in thousandths; earlier versions end before it
+}
+
+// UnmarshalCBOR decodes a status, also one of an earlier version without the last
+// field, which is then zero.
+func (w *wireStatus) UnmarshalCBOR(b []byte) error {
+	type plain wireStatus
+	const earlierFields = 12
+	err := cbor.Unmarshal(b, (*plain)(w))
+	if err == nil {
+		return nil
+	}
+	var fields []cbor.RawMessage
+	if cbor.Unmarshal(b, &fields) != nil || len(fields) != earlierFields {
+		return err
+	}
+	const zero = 0 // the CBOR encoding of the integer
+	if b, err = cbor.Marshal(append(fields, cbor.RawMessage{zero})); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, (*plain)(w))
 }
 
 // Bits of wireStatus.Flags.
@@ -116,6 +137,7 @@
 		Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 		TrialIn: s.TrialIn.Milliseconds(), Idle: s.Idle.Milliseconds(),
 		Risk: toThousandths(s.Risk), RetryCalls: int64(math.Round(10 * s.RetryCalls)), Wait: s.Wait.Milliseconds(),
+		Rejects: toThousandths(s.Rejects),
 	}
 }
 
@@ -131,7 +153,8 @@
 		TrialIn: time.Duration(w.TrialIn) * time.Millisecond,
 		Idle:    time.Duration(w.Idle) * time.Millisecond,
 		Risk:    float64(w.Risk) / 1000, RetryCalls: float64(w.RetryCalls) / 10,
-		Wait: time.Duration(w.Wait) * time.Millisecond,
+		Wait:    time.Duration(w.Wait) * time.Millisecond,
+		Rejects: min(1, max(0, float64(w.Rejects)/1000)),
 	}, nil
 }
 
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -204,7 +204,7 @@
 			Waiting: rapid.IntRange(0, 10_000).Draw(t, "waiting"), TrialIn: millis("trial"), Wait: millis("expected wait"),
 			Recovering:    rapid.Bool().Draw(t, "returning"),
 			AdmitsRetries: rapid.Bool().Draw(t, "admits retries"), AdmitsUrgentRetries: rapid.Bool().Draw(t, "admits urgent retries"), Risk: float64(rapid.IntRange(0, 1000).Draw(t, "risk")) / 1000,
-			RetryCalls: float64(rapid.IntRange(0, 100_000).Draw(t, "retry calls")) / 10,
+			RetryCalls: float64(rapid.IntRange(0, 100_000).Draw(t, "retry calls")) / 10, Rejects: float64(rapid.IntRange(0, 1000).Draw(t, "rejects")) / 1000,
 		}
 		var wire wireStatus
 		if err := decodeField(encodeField(encodeStatus(s)), &wire); err != nil {
@@ -239,6 +239,34 @@
 	})
 }
 
+// Guards against nodes that ignore each other while a version without the share of
+// rejections and one with it run side by side: a status that ends before the field
+// is decoded, and one with fewer fields is an error.
+func TestStatusOfEarlierVersion(t *testing.T) {
+	want := admission.Status{Target: "t", Service: "s", Phase: admission.Serving, Slots: 4, Running: 1, Wait: time.Second, Risk: 0.25}
+	b, err := cbor.Marshal(encodeStatus(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields []cbor.RawMessage
+	if err := cbor.Unmarshal(b, &fields); err != nil {
+		t.Fatal(err)
+	}
+	for omitted, decodes := range []bool{true, true, false} {
+		b, err := cbor.Marshal(fields[:len(fields)-omitted])
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wire wireStatus
+		if err := cbor.Unmarshal(b, &wire); (err == nil) != decodes {
+			t.Fatalf("status without the last %d fields: error %v", omitted, err)
+		}
+		if got, err := decodeStatus(wire); decodes && (got != want || err != nil) {
+			t.Errorf("status without the last %d fields: got %+v, %v, want %+v", omitted, got, err, want)
+		}
+	}
+}
+
 func FuzzHeartbeat(f *testing.F) {
 	b, err := cbor.Marshal(heartbeat{Addr: "127.0.0.1:1", Gossip: "127.0.0.1:2", Started: 1})
 	if err != nil {
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -66,7 +66,7 @@
 	if e := x.refusalError(httpResp); e != nil {
 		httpResp.Body.Close()
 		x.refused.add(q.id, q.deadline.left())
-		return nil, admission.Neutral, e
+		return nil, outcomeOfRefusal(e), e
 	}
 	if e := x.validateResponse(httpResp); e != nil {
 		httpResp.Body.Close()
@@ -120,6 +120,15 @@
 	}
 }
 
+// outcomeOfRefusal returns what a refusal shows about the target. Another target
+// at its address shows nothing.
+func outcomeOfRefusal(e *resultcode.Error) admission.Outcome {
+	if e.Code == resultcode.ShedByTarget {
+		return admission.Rejected
+	}
+	return admission.Neutral
+}
+
 func (x *exchange) validateResponse(r *http.Response) *resultcode.Error {
 	switch {
 	case r.Header.Get(x.headers.Signature) == "":
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -123,6 +123,8 @@
 	t.attempts += x.attempts
 	t.lost += x.lost
 	t.unreachable += x.unreachable
+	t.firstSends += x.firstSends
+	t.firstShed += x.firstShed
 }
 
 // Failure rates for callers if every attempt goes to a random target and a
--- /dev/null
+++ b/mesh/shedding_test.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+)
+
+// firstShed returns the fraction of all first sends that targets shed once host
+// nodes have had the time to learn it.
+func firstShed(got map[string]*simTally) (share float64, sends int) {
+	sum := &simTally{}
+	for _, x := range got {
+		sum.add(x)
+	}
+	return float64(sum.firstShed) / float64(max(1, sum.firstSends)), sum.firstSends
+}
+
+// halfShed is a fleet of which half of the targets shed half of their requests
+// for 12 s. The other half has slots for all requests. There is one zone, since
+// one of several zones may have fewer targets that accept all than it needs.
+func halfShed(seed uint64) *simulation {
+	sim := shedsForSeconds(seed)
+	sim.zones, sim.grayShare, sim.together, sim.learnTime = 1, 0.5, 12*time.Second, 2*time.Second
+	return sim
+}
+
+// Guards against first sends that go to targets which shed while others accept
+// all and have room. Half of 27 targets shed half of their requests; sends that
+// ignore it lose 0.25. To see it recover, each of them needs about one send in a
+// second: 13.5 of 132 requests a second, of which half are shed, are 0.05. Twice
+// that is allowed, since entry nodes hear of a target only once a second.
+func TestFirstSendsAvoidSheddingTargets(t *testing.T) {
+	t.Parallel()
+	const most = 0.1
+	got := runSimulations(t, 2, halfShed)
+	if share, sends := firstShed(got); share > most {
+		t.Errorf("%.3f of %d first sends were shed, want at most %.2f", share, sends, most)
+	}
+	for class, x := range got {
+		if refused := float64(x.refused) / float64(x.all); refused > 0.005 {
+			t.Errorf("%.3f of %d requests of class %s were refused although half of the targets had room", refused, x.all, class)
+		}
+	}
+}
+
+// Guards against targets that shed for some time and get less than their part
+// afterwards, and against all of it at once: from 2 s after the end, those that
+// shed get between two thirds and three halves of what the others get.
+func TestSheddingTargetsRecover(t *testing.T) {
+	t.Parallel()
+	sim := halfShed(1)
+	sim.run(t)
+	end := sim.duration/3 + sim.together
+	sends, targets := map[bool]float64{}, map[bool]float64{}
+	for _, n := range sim.nodes {
+		shed := n.inGrayFailure(end - time.Second)
+		targets[shed]++
+		for second := int((end + 2*time.Second) / time.Second); second < int(sim.duration/time.Second); second++ {
+			sends[shed] += float64(n.sends[second])
+		}
+	}
+	if ratio := sends[true] / targets[true] * targets[false] / sends[false]; ratio < 2./3 || ratio > 3./2 {
+		t.Errorf("a target that shed got %.2f times the requests of one that did not, want 0.67 to 1.5", ratio)
+	}
+}
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -35,8 +35,10 @@
 	// together is for how long the gray failures last that begin after a third of
 	// the time at a fraction grayShare of the targets, instead of those by period.
 	together    time.Duration
-	failShare   float64 // fraction of its requests that such a target fails
-	grayService string  // the only service with gray failures; all if empty
+	learnTime   time.Duration // after the onset of such gray failures, sends are to follow what was learned
+	failShare   float64       // fraction of its requests that such a target fails
+	acceptShare float64       // fraction of its slots that a target uses in the mode sheddingAbove
+	grayService string        // the only service with gray failures; all if empty
 	duration    time.Duration
 	burst       float64 // factor on the request rate in the middle third
 	bursts      []simBurst
@@ -59,6 +61,7 @@
 	connectionReset                      // the connection is reset at once
 	connectionRefused                    // no connection is accepted, so no request runs
 	shedding                             // the target states at once that it did not run the request
+	sheddingAbove                        // as shedding, but only while it runs a fraction acceptShare of its slots
 )
 
 type simService struct {
@@ -143,6 +146,9 @@
 	queued                             int // reservations that had to wait in line
 	unreachable                        int // reservations that the host node never received
 	attempts                           int // attempts that reached a host node with a reservation
+	// firstSends are the first attempts while gray failures last together, from
+	// learnTime after their onset, and firstShed those that the target shed.
+	firstSends, firstShed int
 }
 
 type simNode struct {
@@ -159,6 +165,8 @@
 	announced     chan struct{}
 	joined        time.Duration // when the target began to serve
 	firstRun      time.Duration // when it got its first request; 0 if it got none
+	running       int           // requests that the target runs; guarded by sim.mu
+	sends         map[int]int   // attempts that reached the target, by second; guarded by sim.mu
 }
 
 // inGrayFailure reports whether the target is failing at the given time.
@@ -262,7 +270,7 @@
 }
 
 func (sim *simulation) addNode(s simService, addr, zone string, late bool) {
-	n := &simNode{sim: sim, addr: addr, zone: zone, service: s, announced: make(chan struct{}, 1)}
+	n := &simNode{sim: sim, addr: addr, zone: zone, service: s, announced: make(chan struct{}, 1), sends: map[int]int{}}
 	n.phase = time.Duration(sim.float() * float64(sim.period))
 	n.gate = admission.NewGate(sim.fleetNow, admission.DefaultDetectorConfig(), n.changed)
 	serve := func() {
@@ -336,10 +344,18 @@
 	return sim.fleetNow() > third && sim.fleetNow() < 2*third
 }
 
-// recordRun records when the target got its first request.
+// haveLearned reports whether the targets are in gray failure together and host
+// nodes have had the time to learn it.
+func (sim *simulation) haveLearned(now time.Duration) bool {
+	onset := sim.duration / 3
+	return sim.together > 0 && now >= onset+sim.learnTime && now < onset+sim.together
+}
+
+// recordRun records a request that the target got.
 func (n *simNode) recordRun() {
 	n.sim.mu.Lock()
 	defer n.sim.mu.Unlock()
+	n.sends[int(n.sim.fleetNow()/time.Second)]++
 	if n.firstRun == 0 {
 		n.firstRun = n.sim.fleetNow()
 	}
@@ -468,6 +484,7 @@
 	})
 	s.host.sim.recordArrival(ctx, s.host.service.name, s.req.Retry)
 	s.host.recordRun()
+	sent := s.host.sim.fleetNow()
 	wasGray := s.host.inGrayFailure(s.host.sim.fleetNow())
 	run := s.host.outboundCalls.beginRun(runSource(s.req.Idempotent), s.req.Retry)
 	resp, outcome, err := s.host.runTarget(context.WithValue(ctx, retryKey{}, s.req.Retry), ctx.Value(classKey{}).(*simClass))
@@ -479,6 +496,14 @@
 	if err != nil && wasGray {
 		s.from.sim.count(ctx, func(t *simTally) { t.lost++ })
 	}
+	if sim := s.from.sim; !s.req.Retry && sim.haveLearned(sent) {
+		sim.count(ctx, func(t *simTally) {
+			t.firstSends++
+			if err != nil && err.Code == resultcode.ShedByTarget {
+				t.firstShed++
+			}
+		})
+	}
 	time.Sleep(delay)
 	s.from.view.Refresh(s.host.addr, s.host.status())
 	if err != nil {
@@ -511,14 +536,22 @@
 
 // runTarget runs a request at the target.
 func (n *simNode) runTarget(ctx context.Context, c *simClass) (*response, admission.Outcome, *resultcode.Error) {
-	if n.inGrayFailure(n.sim.fleetNow()) && n.sim.float() < n.sim.failShare {
+	running := n.begin()
+	defer n.end()
+	fails := n.inGrayFailure(n.sim.fleetNow())
+	if n.sim.mode == sheddingAbove {
+		fails = fails && float64(running) > n.sim.acceptShare*float64(n.service.slots)
+	} else {
+		fails = fails && n.sim.float() < n.sim.failShare
+	}
+	if fails {
 		switch n.sim.mode {
 		case connectionReset:
 			return nil, admission.TransportError, resultcode.New(resultcode.TargetError, "reset")
 		case connectionRefused:
 			return nil, admission.TransportError, notRun(resultcode.NoTarget, "connection refused")
-		case shedding:
-			return nil, admission.Neutral, notRun(resultcode.ShedByTarget, "shed")
+		case shedding, sheddingAbove:
+			return nil, admission.Rejected, notRun(resultcode.ShedByTarget, "shed")
 		}
 		<-ctx.Done()
 		return nil, outcomeOfError(ctx, ctx.Err()), resultOfError(ctx, ctx.Err())
@@ -538,6 +571,20 @@
 	return &response{status: status, header: http.Header{}}, outcomeOfStatus(status), nil
 }
 
+// begin counts a request at the target and returns how many it has.
+func (n *simNode) begin() int {
+	n.sim.mu.Lock()
+	defer n.sim.mu.Unlock()
+	n.running++
+	return n.running
+}
+
+func (n *simNode) end() {
+	n.sim.mu.Lock()
+	defer n.sim.mu.Unlock()
+	n.running--
+}
+
 // call makes a nested call and reports its success.
 func (n *simNode) call(ctx context.Context, c *simClass) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.route.Timeout)
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -254,5 +254,5 @@
 	if r.Idempotent {
 		weight = v.cfg.IdempotentRiskWeight
 	}
-	return score + weight*v.risk(h, age)
+	return score + weight*v.risk(h, age) + v.cfg.RejectsWeight*admission.RejectsAfter(s.Rejects, age)
 }
--- a/placement/rank_test.go
+++ b/placement/rank_test.go
@@ -44,6 +44,31 @@
 	return out
 }
 
+// Guards against first sends to a target that rejects half of them while another
+// one has free slots, against a class that this outweighs, and against a target
+// that gets nothing more, so that its recovery is not seen: as its status ages, it
+// is chosen again.
+func TestRejectingTargetsComeLater(t *testing.T) {
+	v := newTestView()
+	sheds := healthy(10, 0)
+	sheds.Rejects = 0.5
+	v.Update(Host{"sheds", "z1"}, sheds)
+	v.Update(Host{"accepts", "z1"}, healthy(10, 9))
+	first := func() string { return v.rankedAddrs(Request{})[0] }
+	if got := first(); got != "accepts" {
+		t.Errorf("%s ranks first while the other target accepts all and has a free slot", got)
+	}
+	v.Refused("accepts")
+	if got := first(); got != "sheds" {
+		t.Errorf("%s ranks first although it refused just now", got)
+	}
+	v.now += 3 * time.Second
+	v.Update(Host{"accepts", "z1"}, healthy(10, 7))
+	if got := first(); got != "sheds" {
+		t.Errorf("%s ranks first although nothing shows that the other target still rejects requests", got)
+	}
+}
+
 // Guards against traffic between zones while the node's own zone has free slots,
 // and against requests that queue in a full zone while another one has free slots.
 func TestOwnZoneUntilFull(t *testing.T) {
