mesh: send a request only to the target that granted its reservation

Cause: SetTarget set the new address before the new target, and a request read the address after its reservation had been checked. A request that was checked for one instance could so be sent to the address of the next one; only the instance's own check of the expected ID kept it from running there.

Change: the check of a reservation and the reading of the address are one step towards SetTarget.

TestProtocolInvariants sets the address in the field instead of by a function.

--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -62,27 +62,45 @@
 	handler   func(w io.Writer, r *http.Request) (keep bool)
 	runs      map[string]int // number of runs by request ID
 	abandoned chan string    // IDs of requests whose connection the node closed
+	listener  net.Listener
+	conns     []net.Conn
 }
 
-func startTarget(t *testing.T, id string) *stubTarget {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func startTarget(t *testing.T, id string) *stubTarget { return startTargetAt(t, id, "127.0.0.1:0") }
+
+func startTargetAt(t *testing.T, id, addr string) *stubTarget {
+	t.Helper()
+	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
+	g := &stubTarget{id: id, addr: l.Addr().String(), runs: map[string]int{}, abandoned: make(chan string, 100), handler: respondOK, listener: l}
 	t.Cleanup(func() { l.Close() })
-	g := &stubTarget{id: id, addr: l.Addr().String(), runs: map[string]int{}, abandoned: make(chan string, 100), handler: respondOK}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			g.mu.Lock()
+			g.conns = append(g.conns, c)
+			g.mu.Unlock()
 			go g.serve(c)
 		}
 	}()
 	return g
 }
 
+// close ends the target with its connections, as the end of its process does.
+func (g *stubTarget) close() {
+	g.listener.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.conns {
+		c.Close()
+	}
+}
+
 func (g *stubTarget) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -33,7 +33,11 @@
 	resources     *resources
 	now           func() time.Duration // includes suspensions of the machine
 
-	targetAddr func() string // address of the target, which may change while the node runs
+	// target is locked for reading from the check of a reservation until the
+	// address has been read, so that a request is not sent to the address of
+	// another target than the one that granted the reservation.
+	target     sync.RWMutex
+	targetAddr string // guarded by target
 
 	mu           sync.Mutex
 	reservations map[string]heldReservation
@@ -60,9 +64,29 @@
 	return s
 }
 
+// setTarget updates the target beside this node.
+func (h *hostNode) setTarget(t admission.Target, addr string, restarted bool) {
+	h.target.Lock()
+	defer h.target.Unlock()
+	h.targetAddr = addr
+	if restarted {
+		h.gate.Restart()
+	}
+	h.gate.SetTarget(t)
+}
+
+// claim uses the reservation and returns the address of the target that granted
+// it.
+func (h *hostNode) claim(r *admission.Reservation) (admission.Reason, string) {
+	h.target.RLock()
+	defer h.target.RUnlock()
+	return r.Claim(), h.targetAddr
+}
+
 // run sends a request under a reservation.
 func (h *hostNode) run(ctx context.Context, reserved *admission.Reservation, r admission.Request, q *request) (*response, *resultcode.Error) {
-	if reason := reserved.Claim(); reason != admission.None {
+	reason, addr := h.claim(reserved)
+	if reason != admission.None {
 		return nil, notRun(resultcode.TargetDraining, "reservation can no longer be used: %s", reason)
 	}
 	if q.deadline.left() <= 0 {
@@ -77,7 +101,7 @@
 	ctx, cancel := q.deadline.context(ctx, 0)
 	x := exchange{
 		client: h.client, headers: h.headers, metrics: h.metrics, refused: h.refused, resources: h.resources,
-		addr: h.targetAddr(), targetID: r.Target, callerService: q.header.Get(h.headers.CallerService),
+		addr: addr, targetID: r.Target, callerService: q.header.Get(h.headers.CallerService),
 	}
 	resent := h.refused.has(q.id)
 	start := time.Now()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,7 +71,6 @@
 	configMu      sync.Mutex
 	fetching      atomic.Bool
 	fetchDeferred atomic.Bool // a fetch from another availability zone waits for its delay
-	targetAddr    atomic.Pointer[string]
 	service       atomic.Pointer[string]
 	retryPolicy   atomic.Pointer[RetryPolicy]
 	announced     atomic.Pointer[announcedState]
@@ -94,7 +93,6 @@
 	}
 	n := &Node{cfg: cfg, log: &eventLog{cfg.Log}, wallStart: time.Now(), clockStart: cfg.Clock(), metrics: newMetrics()}
 	empty := ""
-	n.targetAddr.Store(&empty)
 	n.service.Store(&empty)
 	n.retryPolicy.Store(&RetryPolicy{})
 	n.gate = admission.NewGate(n.now, admission.DefaultDetectorConfig(), n.statusChanged)
@@ -128,8 +126,8 @@
 	policy := func() RetryPolicy { return *n.retryPolicy.Load() }
 	n.hostNode = &hostNode{
 		gate: n.gate, client: n.targetClient, headers: &n.cfg.Headers, refused: newRefusedRequests(), resources: n.resources, log: n.log, metrics: n.metrics,
-		targetAddr: func() string { return *n.targetAddr.Load() }, reservations: map[string]heldReservation{},
-		now: n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
+		reservations: map[string]heldReservation{},
+		now:          n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
 	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, onStatus: n.statusReceived}
 	d := &dispatcher{
@@ -279,11 +277,7 @@
 
 // SetTarget updates the target beside this node.
 func (n *Node) SetTarget(t admission.Target, addr string, restarted bool) {
-	n.targetAddr.Store(&addr)
-	if restarted {
-		n.gate.Restart()
-	}
-	n.gate.SetTarget(t)
+	n.hostNode.setTarget(t, addr, restarted)
 }
 
 // SetService sets the name of the service of the target on this host, which is
--- a/mesh/protocol_test.go
+++ b/mesh/protocol_test.go
@@ -103,7 +103,7 @@
 	h.hostNode = &hostNode{
 		gate: admission.NewGate(now, admission.DefaultDetectorConfig(), nil), headers: &testHeaders,
 		client: upstream.NewClient(upstream.Config{Dial: h.target.dial}), metrics: newMetrics(), refused: newRefusedRequests(),
-		log: discardEventLog(), targetAddr: func() string { return "target" },
+		log: discardEventLog(), targetAddr: "target",
 		reservations: map[string]heldReservation{}, now: now, outboundCalls: &outboundCalls{now: now},
 		budget: newBudget(now, func() RetryPolicy { return RetryPolicy{1, 100} }, func() int { return 1 }, newCallBudget(now, nil, &outboundCalls{now: now}, 1), 1),
 	}
