limits: follow an owner that states that it gives up its keys

An answer that states that its sender is not ready was ignored, so a node went on asking an owner that had given up its keys until the next heartbeat arrived. Each NotOwner answer was followed by the next request at once, and the requests stayed undecided if the announcement of the stop was lost. An answer now counts until a later heartbeat, whichever it states. Also compare the tokens of a bucket with the request before the conversion to uint32, whose result is undefined above its range and differs between x86-64 and arm64.

--- a/limits/quota.go
+++ b/limits/quota.go
@@ -148,11 +148,22 @@
 	firstAsk  time.Duration
 	lastAsk   time.Duration
 	lastHeard time.Duration
-	readyAt   time.Duration // when a message said that the node is ready
-	usable    bool          // may own keys now
+	// statedReady is what an answer said at statedAt, which counts until a later
+	// heartbeat.
+	statedReady bool
+	statedAt    time.Duration
+	usable      bool // may own keys now
 }
 
-func (p *quotaPeer) ready() bool { return p.Ready || p.readyAt > p.Heard }
+func (p *quotaPeer) ready() bool {
+	if p.statedAt > p.Heard {
+		return p.statedReady
+	}
+	return p.Ready
+}
+
+// stateReady records whether an answer said that the node is ready.
+func (p *quotaPeer) stateReady(now time.Duration, ready bool) { p.statedReady, p.statedAt = ready, now }
 
 func (p *quotaPeer) suspect(now time.Duration) bool {
 	return p.asks >= suspectAsks && now-p.firstAsk >= suspectAfter
@@ -587,8 +598,9 @@
 	defer l.mu.Unlock()
 	l.step(now)
 	changed := l.heardFrom(now, from)
-	if p := l.nodes[from]; p != nil && ready && !p.ready() {
-		p.readyAt, changed = now, true
+	if p := l.nodes[from]; p != nil && ready != p.ready() {
+		p.stateReady(now, ready)
+		changed = true
 	}
 	if changed {
 		l.updateUsable(now)
@@ -614,7 +626,8 @@
 	e.askAt = now + quotaResend
 	if p := l.nodes[owner]; p != nil {
 		e.askAt = now
-		p.asks, p.readyAt = 0, now
+		p.asks = 0
+		p.stateReady(now, true)
 		l.updateUsable(now)
 	}
 }
--- a/limits/quota_test.go
+++ b/limits/quota_test.go
@@ -287,3 +287,41 @@
 		t.Errorf("%d requests were admitted right after a suspension", admitted)
 	}
 }
+
+// Guards against a node that asks an owner that gives up its keys again and
+// again, and whose requests stay undecided, when the announcement of the stop is
+// lost.
+func TestQuotaOwnerStopsUnannounced(t *testing.T) {
+	f := newQuotaFleet(24, 3, Rate{PerSecond: 100, Burst: 100}, 3)
+	f.run(10 * time.Second)
+	owner := f.byID(f.nodes[0].quotas.ownerOf(testKey))
+	owner.quotas.Retire(f.now)
+	owner.announced = false // the announcement is lost
+	at := f.now
+	f.messages = 0
+	for i, n := range f.nodes {
+		f.at(f.now+time.Duration(i)*20*time.Millisecond, func() { n.request(testKey) })
+	}
+	f.run(at + 2*time.Second)
+	if admitted, refused, undecided := f.tally(testKey, at, time.Hour); admitted < len(f.nodes) {
+		t.Errorf("%d requests within the quota were admitted, %d refused, %d undecided", admitted, refused, undecided)
+	}
+	// A question and an answer for each request, and as many to learn the owner.
+	if most := 5 * len(f.nodes); f.messages > most {
+		t.Errorf("%d messages for %d requests, want at most %d", f.messages, len(f.nodes), most)
+	}
+}
+
+// Guards against a burst that is too large for the type of a grant, of which
+// part is lost in the conversion.
+func TestQuotaLargeBurst(t *testing.T) {
+	f := newQuotaFleet(1, 1, Rate{PerSecond: 1e12, Burst: 1 << 32}, 1)
+	f.policy = QuotaPolicy{Window: 5 * time.Second}
+	f.nodes[0].start()
+	f.run(10 * time.Second)
+	f.nodes[0].request(testKey)
+	f.run(f.now + time.Second)
+	if admitted, _, _ := f.tally(testKey, 0, time.Hour); admitted != 1 {
+		t.Errorf("%d requests were admitted, want 1", admitted)
+	}
+}
--- a/limits/quotaowner.go
+++ b/limits/quotaowner.go
@@ -138,7 +138,7 @@
 	if req.Refund > 0 {
 		b.refund(s, float64(req.Refund), time.Duration(req.RefundAge)*time.Millisecond)
 	}
-	granted := min(req.Want, uint32(max(0, b.tokens)))
+	granted := uint32(min(float64(req.Want), max(0, b.tokens)))
 	b.tokens -= float64(granted)
 	g := QuotaGrant{Key: req.Key, Seq: req.Seq, Granted: granted}
 	if granted < req.Want {
