limits: close a connection whose request ended before it was cut

Near a limit the guard chooses a connection whose reader is behind and cuts it by deadlines in the past. If its request ended at that moment, net/http kept the connection and reset only the read deadline: the response of its next request was lost after that request had run, and the connection was never chosen again. Such a connection is now closed once it is idle. An account of Memory that was closed takes no more bytes, which nobody would give back.

TestConnGuardClosesCutConnection: open before, closed after. TestMemoryTakeAfterClose: 10 bytes in use before, 0 after.

--- a/limits/connguard.go
+++ b/limits/connguard.go
@@ -175,7 +175,13 @@
 		if c, ok := conn.(*GuardedConn); ok {
 			g.mu.Lock()
 			c.state, c.since = to, g.now()
+			cut := c.evicted
 			g.mu.Unlock()
+			if cut && to == http.StateIdle {
+				// The request ended before it was cut. The expired write deadline
+				// would make the connection lose its next response.
+				c.Close()
+			}
 			c.Body.Reset()
 			c.write.Reset()
 		}
--- a/limits/connguard_test.go
+++ b/limits/connguard_test.go
@@ -73,6 +73,32 @@
 	})
 }
 
+// Guards against a connection that goes on after it was cut for another, as its
+// request ended at that moment: its next response would be lost to the expired
+// write deadline, after its request has run.
+func TestConnGuardClosesCutConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		now := func() time.Duration { return time.Since(start) }
+		g := NewConnGuard(1, 1, 0, now, func(string, string) {})
+		server := &http.Server{}
+		g.Install(server)
+		slow := &fakeConn{ip: "10.0.0.1"}
+		c := g.Admit(slow)
+		server.ConnState(c, http.StateActive)
+		c.WriteLag().Begin(now())
+		time.Sleep(time.Second)
+		g.Admit(&fakeConn{ip: "10.0.0.1"})
+		if !slow.past {
+			t.Fatal("the slow reader was not cut")
+		}
+		server.ConnState(c, http.StateIdle)
+		if !slow.closed || g.Open() != 0 {
+			t.Errorf("closed %v, %d connections open after the request ended, want none", slow.closed, g.Open())
+		}
+	})
+}
+
 // Guards against one address that takes the place of all others.
 func TestConnGuardPerAddress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limits/memory.go
+++ b/limits/memory.go
@@ -77,7 +77,7 @@
 
 // Take takes n more bytes. It waits for a short time if the budget is short, and
 // returns a *resultcode.Error with code MemoryLimit if it stays so or the account
-// was revoked.
+// was revoked or closed.
 func (a *MemoryAccount) Take(n int64) error {
 	if a == nil {
 		return nil
@@ -110,11 +110,11 @@
 }
 
 // tryTake takes n bytes or else returns a channel that is closed when bytes are
-// given back, which is nil for a revoked account.
+// given back, which is nil for a revoked or closed account.
 func (a *MemoryAccount) tryTake(n int64) (bool, <-chan struct{}) {
 	m := a.memory
 	m.mu.Lock()
-	if a.revoked {
+	if a.revoked || a.closed {
 		m.mu.Unlock()
 		return false, nil
 	}
--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -143,3 +143,14 @@
 		t.Errorf("%d bytes in %d accounts after the end", m.Used(), len(m.accounts))
 	}
 }
+
+// Guards against a body that takes memory after its account was closed, which
+// nobody gives back.
+func TestMemoryTakeAfterClose(t *testing.T) {
+	m := NewMemory(100, func() time.Duration { return 0 }, nil)
+	a := m.Open()
+	a.Close()
+	if err := a.Take(10); err == nil || m.Used() != 0 {
+		t.Errorf("error %v, %d bytes in use after an account was closed", err, m.Used())
+	}
+}
