mesh: count chunked bodies at the target, and exempt small ones

A body that filled the target's share kept all other requests out, also those without a body, since zero further bytes did not fit either. One caller that announced a large body and sent it slowly made the target refuse everyone. Bodies up to 16 KiB no longer count, as for the budget of the node. A chunked body counted only with its buffered first MiB; the rest now counts as it is sent. It is not held back, so chunked bodies that are sent at once may still exceed the share together; new ones are refused.

TestBytesAtTargetOfStreams: a read and a small order got 503 beside a body of 5 MiB and a limit of 4 MiB, and a large one got 200 beside a chunked body of 5 MiB, before; 200, 200 and 503 after.

--- a/mesh/host.go
+++ b/mesh/host.go
@@ -69,8 +69,8 @@
 		reserved.Release(admission.Neutral)
 		return nil, notRun(resultcode.DeadlineTooShort, "deadline passed before the request was sent")
 	}
-	size := q.size()
-	if !h.resources.acquireAtTarget(size) {
+	releaseAtTarget, ok := h.resources.acquireAtTarget(q)
+	if !ok {
 		reserved.Release(admission.Neutral)
 		return nil, h.resources.refuse(errTargetMemory)
 	}
@@ -83,7 +83,7 @@
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
-	h.resources.releaseAtTarget(size)
+	releaseAtTarget()
 	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -129,16 +129,22 @@
 	return s.memory.Open()
 }
 
-// acquireAtTarget counts the bytes of a request body that is sent to the target.
-// It reports false if the target has enough in flight.
-func (s *resources) acquireAtTarget(n int64) bool { return s == nil || s.atTarget.acquire(n) }
-
-// releaseAtTarget states that a request has ended for which acquireAtTarget
-// returned true.
-func (s *resources) releaseAtTarget(n int64) {
-	if s != nil {
-		s.atTarget.release(n)
+// acquireAtTarget counts the bytes of a request body that is sent to the target,
+// until release is called. It reports false if the target has enough in flight.
+// Small bodies do not count, so that one large body does not keep them out.
+func (s *resources) acquireAtTarget(q *request) (release func(), ok bool) {
+	size := q.size()
+	if s == nil || (q.rest == nil && size <= smallBody) {
+		return func() {}, true
 	}
+	if !s.atTarget.acquire(size) {
+		return nil, false
+	}
+	sent := &targetBytes{limit: &s.atTarget, held: size}
+	if q.rest != nil && q.restLen < 0 {
+		q.rest.onRead = sent.add
+	}
+	return sent.release, true
 }
 
 // refuse counts a request that is refused for lack of memory.
@@ -215,7 +221,36 @@
 	}
 }
 
-func (l *byteLimit) release(n int64) { l.used.Add(-n) }
+// add counts n more bytes in any case, or fewer if n is negative.
+func (l *byteLimit) add(n int64) { l.used.Add(n) }
+
+// targetBytes is what one request holds of a byteLimit. The length of a chunked
+// body shows only while it is sent.
+type targetBytes struct {
+	limit *byteLimit
+
+	mu       sync.Mutex
+	held     int64
+	released bool
+}
+
+// add counts n more bytes of the body. It does nothing after release.
+func (b *targetBytes) add(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.released {
+		b.held += n
+		b.limit.add(n)
+	}
+}
+
+func (b *targetBytes) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released = true
+	b.limit.add(-b.held)
+	b.held = 0
+}
 
 // size returns the bytes of the request's body, as far as they are known.
 func (q *request) size() int64 { return int64(len(q.body)) + max(0, q.restLen) }
@@ -253,6 +288,7 @@
 	r       io.Reader
 	reading atomic.Bool // a read has begun and not ended
 	failed  atomic.Bool
+	onRead  func(n int64) // called with the length of each read; may be nil
 }
 
 // Read implements io.Reader.
@@ -260,6 +296,9 @@
 	b.reading.Store(true)
 	n, err := b.r.Read(p)
 	b.reading.Store(false)
+	if b.onRead != nil {
+		b.onRead(int64(n))
+	}
 	if err != nil && err != io.EOF {
 		b.failed.Store(true)
 	}
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -179,6 +180,48 @@
 	wantResponse(t, <-first, http.StatusOK, "")
 }
 
+// Guards against a target whose requests without a body, or with a small one, are
+// refused while one large body is in flight to it, and against a chunked body of
+// which only the buffered part counts.
+func TestBytesAtTargetOfStreams(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	_ = n.SetConfig([]byte("1"), "test")
+	markTested(t, n, "first")
+	n.resources.atTarget.limit = 4 << 20
+	for name, body := range map[string]string{
+		"announced": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 5<<20)),
+		"chunked":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 5<<20, strings.Repeat("z", 5<<20)),
+	} {
+		began, finish := make(chan struct{}), make(chan struct{})
+		g.setHandler(func(w io.Writer, r *http.Request) bool {
+			if r.Header.Get("X-Id") == name {
+				close(began)
+				<-finish
+			}
+			return respondOK(w, r)
+		})
+		c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\n%s", name, body)
+		<-began
+		wantResponse(t, send(t, n, "/read/1", name+" no body"), http.StatusOK, "")
+		wantResponse(t, sendOrder(t, n, name+" small body", 10<<10), http.StatusOK, "")
+		wantResponse(t, sendOrder(t, n, name+" large body", 200<<10), http.StatusServiceUnavailable, "")
+		close(finish)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: response %v, error %v", name, resp, err)
+		}
+		if used := n.resources.atTarget.used.Load(); used != 0 {
+			t.Errorf("%s: %d bytes in flight after the request, want 0", name, used)
+		}
+	}
+}
+
 // Guards against callers that stop in the middle of a streamed body and so make a
 // sound target count as stalled or broken.
 func TestStalledCallerIsNoEvidence(t *testing.T) {
