mesh: serve a public route without the withdrawn key; confirm no version unconfirmed

A request of a public route whose key was withdrawn while it waited got 401, although a request that arrives with the same key is served without a customer. It now goes on without the customer's name. A node that was suspended itself confirmed to others that it knows no newer version, so nodes that slept together confirmed each other and served withdrawn keys. It now answers 503 until its own version is confirmed.

TestKeyWithdrawnOnPublicRoute: 401 before, 200 without a customer after. TestSuspendedNodeDoesNotConfirm: confirmed before, refused after.

--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -57,17 +57,22 @@
 }
 
 // authorize reports whether the configuration in force still gives the key to
-// the customer that it belonged to in an earlier version. A request without a
-// customer needs no key.
-func (e *entryNode) authorize(customer *dynamic.Customer, key string, version int64) *resultcode.Error {
+// the request's customer, to which it belonged in an earlier version. A request
+// without a customer needs no key. On a public route, a request whose key was
+// withdrawn goes on without a customer.
+func (e *entryNode) authorize(q *request, key string, version int64) *resultcode.Error {
 	cfg := e.config()
-	if customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
+	if q.customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
 		return nil
 	}
-	if holder := cfg.Customer(key); holder == nil || holder.Name != customer.Name {
-		return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
+	if holder := cfg.Customer(key); holder != nil && holder.Name == q.customer.Name {
+		return nil
+	}
+	if route := cfg.Match(q.host, q.url.EscapedPath()); route != nil && route.Public {
+		delete(q.header, http.CanonicalHeaderKey(e.headers.Customer))
+		return nil
 	}
-	return nil
+	return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
 }
 
 // setCustomer replaces what the caller stated about its customer. The target
@@ -76,7 +81,7 @@
 func (e *entryNode) setCustomer(r *http.Request, q *request, customer *dynamic.Customer, version int64) {
 	key := r.Header.Get(e.headers.Key)
 	q.customer = customer
-	q.authorize = func() *resultcode.Error { return e.authorize(customer, key, version) }
+	q.authorize = func() *resultcode.Error { return e.authorize(q, key, version) }
 	delete(q.header, http.CanonicalHeaderKey(e.headers.Key))
 	name := http.CanonicalHeaderKey(e.headers.Customer)
 	delete(q.header, name)
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -162,6 +162,51 @@
 	}
 }
 
+// Guards against status 401 for a request of a public route whose key is
+// withdrawn while it waits: it runs without a customer, like one that arrives
+// with that key now.
+func TestKeyWithdrawnOnPublicRoute(t *testing.T) {
+	g := startTarget(t, "t")
+	release := make(chan struct{})
+	var customers sync.Map
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		customers.Store(r.Header.Get("X-Id"), r.Header.Get("X-Customer"))
+		return respondOK(w, r)
+	})
+	n := startCustomerNode(t, g)
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+	setCustomers(t, n, "1 0 secret")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+	wait.Go(func() { wantResponse(t, send(t, n, "/public/1", "waiting", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+	setCustomers(t, n, "2 0 another")
+	close(release)
+	wait.Wait()
+	if name, ran := customers.Load("waiting"); !ran || name != "" {
+		t.Errorf("ran %v with customer %q, want no customer", ran, name)
+	}
+}
+
+// Guards against a version that is confirmed by a node that was suspended too, as
+// when several processes of one machine sleep at once.
+func TestSuspendedNodeDoesNotConfirm(t *testing.T) {
+	n, other := startCustomerNode(t, nil), startCustomerNode(t, nil)
+	connectNodes(t, n, other)
+	setCustomers(t, n, "1 0 secret")
+	setCustomers(t, other, "1 0 secret")
+	if err := n.confirmVersion(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	other.suspension.unconfirmed.Store(1)
+	if err := n.confirmVersion(t.Context()); err == nil {
+		t.Error("a node that was suspended confirmed that there is no newer version")
+	}
+}
+
 // Guards against status 401 for a key that another node's version holds.
 func TestNewKeyAtNodeBehind(t *testing.T) {
 	n := startCustomerNode(t, startTarget(t, "t"))
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -202,7 +202,13 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64); err == nil && c.Version <= after {
+	after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64)
+	if err == nil && after > 0 && !n.suspension.confirmed() {
+		// This node may have missed versions itself, so it confirms none.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err == nil && c.Version <= after {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
