mesh: ask a node of each zone before refusing an unknown key

A node that had not heard of a version answered 401 to its new keys. It now asks one live node of each zone for its version first, and answers 503 if one has a newer version or none answers; a newer version is fetched, and a request that finds it in force is decided by it. Requests without a key are refused at once.

TestNewKeyAtNodeBehind announces versions in the name of a node that does not exist, which the check could not reach, so the test gives it an answer; what it expects is unchanged.

--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -40,17 +40,24 @@
 
 // identify returns the customer that holds the request's key, or nil if callers
 // need none. A key that this node does not know may belong to a version that
-// another node has already; such a request is refused as not run rather than as
-// unauthorized.
+// another node has already. So a node of each zone is asked, and the request is
+// refused as not run rather than as unauthorized if one has a newer version or
+// none answers.
 func (e *entryNode) identify(r *http.Request, cfg *dynamic.Config, route *dynamic.Route) (*dynamic.Customer, error) {
 	if !cfg.HasCustomers() {
 		return nil, nil
 	}
-	customer := cfg.Customer(r.Header.Get(e.headers.Key))
-	switch {
-	case customer != nil || route.Public:
+	key := r.Header.Get(e.headers.Key)
+	customer := cfg.Customer(key)
+	if customer != nil || route.Public {
 		return customer, nil
-	case e.behind(cfg.Version):
+	}
+	if key != "" && !e.behind(cfg.Version) {
+		if err := e.versions.wait(r.Context()); err != nil {
+			return nil, notRun(resultcode.StaleConfiguration, "version %d does not hold the key, and no other node confirms the version: %w", cfg.Version, err)
+		}
+	}
+	if e.behind(cfg.Version) {
 		return nil, notRun(resultcode.StaleConfiguration, "version %d does not hold the key, and another node has a newer version", cfg.Version)
 	}
 	return nil, notRun(resultcode.UnknownKey, "version %d does not hold the key", cfg.Version)
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -210,6 +211,8 @@
 // Guards against status 401 for a key that another node's version holds.
 func TestNewKeyAtNodeBehind(t *testing.T) {
 	n := startCustomerNode(t, startTarget(t, "t"))
+	// The announcing node below has no process that could be asked.
+	n.entryNode.versions = &versionCheck{ask: func(context.Context) error { return nil }}
 	setCustomers(t, n, "1 0 secret")
 	announce := func(version int64) {
 		n.peers.mu.Lock()
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -21,6 +21,7 @@
 	localService  func() string        // service of the target on this host
 	stopping      func() bool
 	behind        func(version int64) bool // whether another node has a newer configuration
+	versions      *versionCheck
 	quotas        *quotas
 	confirmed     func() bool // false after a suspension, until another node has confirmed the version
 	splitter      *dynamic.Splitter
@@ -87,6 +88,9 @@
 	}
 	customer, err := e.identify(r, cfg, route)
 	if err != nil {
+		if e.config().Version != cfg.Version {
+			return e.serve(w, r, start) // by the version that came into force meanwhile
+		}
 		return route, err
 	}
 	charged, err := e.quotas.take(r.Context(), customer, cfg.Version, route.Objective)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -140,7 +140,7 @@
 	}
 	n.entryNode = &entryNode{
 		dispatcher: d, headers: &n.cfg.Headers, config: n.Config, now: n.now, localService: func() string { return *n.service.Load() },
-		stopping: n.stopping.Load, behind: n.peers.haveNewer, quotas: n.quotas, confirmed: n.suspension.confirmed, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
+		stopping: n.stopping.Load, behind: n.peers.haveNewer, versions: &versionCheck{ask: n.askVersions}, quotas: n.quotas, confirmed: n.suspension.confirmed, splitter: dynamic.NewSplitter(int(n.cfg.Seed % splitPhases)),
 		outboundCalls: n.hostNode.outboundCalls, resources: n.resources, log: n.log, metrics: n.metrics,
 	}
 }
@@ -197,18 +197,29 @@
 		n.hostNode.ServeHTTP(w, r)
 		return
 	}
+	n.serveConfig(w, r)
+}
+
+// serveConfig responds to another node with the configuration in force or its
+// version.
+func (n *Node) serveConfig(w http.ResponseWriter, r *http.Request) {
 	c := n.config.Load()
 	if c == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	versionOnly := r.Header.Get(headerConfig) == headerConfigVersion
 	after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64)
-	if err == nil && after > 0 && !n.suspension.confirmed() {
+	confirms := err == nil && after > 0
+	if (versionOnly || confirms) && !n.suspension.confirmed() {
 		// This node may have missed versions itself, so it confirms none.
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err == nil && c.Version <= after {
+	if versionOnly {
+		w.Header()[headerConfigAfter] = []string{strconv.FormatInt(c.Version, 10)}
+	}
+	if versionOnly || (err == nil && c.Version <= after) {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
