--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -30,6 +30,7 @@
 	m.count(metricQuotaGranted)
 	m.count(metricQuotaRefunded)
 	m.count(metricQuotaSent)
+	m.count(metricVersionChecks)
 	var out bytes.Buffer
 	m.write(&out)
 	line := regexp.MustCompile(`^([a-z_]+?)(_count)?(\{[a-z]+="[a-z0-9_.]+"\})? [0-9.]+$`)
