mesh: end a slow body whose place at the target another one needs

A caller that announced a body of the target's share and sent it slowly kept all other bodies above 16 KiB out until the deadline of its route. A body above the limit is still sent alone, and chunked ones count as they are sent; both may end slow ones, too.

--- a/limits/memory.go
+++ b/limits/memory.go
@@ -109,6 +109,22 @@
 	return ok
 }
 
+// TakeIfIdle takes n bytes, also beyond the limit, if the budget is not in use, and
+// reports whether it did.
+func (a *MemoryAccount) TakeIfIdle(n int64) bool {
+	if a == nil {
+		return true
+	}
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.used > 0 || a.closed {
+		return false
+	}
+	a.add(n)
+	return true
+}
+
 // tryTake takes n bytes or else returns a channel that is closed when bytes are
 // given back, which is nil for a revoked or closed account.
 func (a *MemoryAccount) tryTake(n int64) (bool, <-chan struct{}) {
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -69,7 +69,7 @@
 		reserved.Release(admission.Neutral)
 		return nil, notRun(resultcode.DeadlineTooShort, "deadline passed before the request was sent")
 	}
-	releaseAtTarget, ok := h.resources.acquireAtTarget(q)
+	atTarget, ok := h.resources.acquireAtTarget(q)
 	if !ok {
 		reserved.Release(admission.Neutral)
 		return nil, h.resources.refuse(errTargetMemory)
@@ -83,7 +83,7 @@
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
-	releaseAtTarget()
+	atTarget.Close()
 	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -82,7 +82,8 @@
 	callers  *limits.ConnGuard
 	nodes    *limits.ConnGuard
 	outgoing *limits.ConnLimiter
-	atTarget byteLimit
+	// atTarget bounds the bodies in flight to the target of this host.
+	atTarget *limits.Memory
 	// closeIdle closes idle outgoing connections.
 	closeIdle func()
 	log       *eventLog
@@ -96,13 +97,15 @@
 	s := &resources{
 		now:      now,
 		outgoing: limits.NewConnLimiter(int(outgoingSockets * float64(r.Sockets))),
-		atTarget: byteLimit{limit: int64(targetShare * float64(r.MemoryBytes))},
 		log:      log, metrics: m,
 	}
-	s.memory = limits.NewMemory(int64(bodyShare*float64(r.MemoryBytes)), now, func(held int64, behind time.Duration) {
-		m.count(metricMemoryRevoked)
-		log.memoryRevoked(held, behind)
-	})
+	budget := func(share float64) *limits.Memory {
+		return limits.NewMemory(int64(share*float64(r.MemoryBytes)), now, func(held int64, behind time.Duration) {
+			m.count(metricMemoryRevoked)
+			log.memoryRevoked(held, behind)
+		})
+	}
+	s.memory, s.atTarget = budget(bodyShare), budget(targetShare)
 	guard := func(name string, total int) *limits.ConnGuard {
 		return limits.NewConnGuard(total, int(perAddress*float64(total)), 0, now, func(action, ip string) {
 			m.count(metricConnLimit + "." + name + "_" + action)
@@ -130,21 +133,27 @@
 }
 
 // acquireAtTarget counts the bytes of a request body that is sent to the target,
-// until release is called. It reports false if the target has enough in flight.
-// Small bodies do not count, so that one large body does not keep them out.
-func (s *resources) acquireAtTarget(q *request) (release func(), ok bool) {
+// until the account is closed. It reports false if the target has enough in
+// flight. Small bodies do not count, so that a large one does not keep them out.
+func (s *resources) acquireAtTarget(q *request) (*limits.MemoryAccount, bool) {
 	size := q.size()
 	if s == nil || (q.rest == nil && size <= smallBody) {
-		return func() {}, true
+		return nil, true
 	}
-	if !s.atTarget.acquire(size) {
+	account := s.atTarget.Open()
+	if !account.TakeIfIdle(size) && !account.TryTake(size) {
 		return nil, false
 	}
-	sent := &targetBytes{limit: &s.atTarget, held: size}
-	if q.rest != nil && q.restLen < 0 {
-		q.rest.onRead = sent.add
+	if q.rest == nil {
+		return account, true
+	}
+	if q.restLen < 0 {
+		q.rest.onRead = account.Force // the length shows only while the body is sent
 	}
-	return sent.release, true
+	if c := q.rest.conn; c != nil {
+		account.SetTransfer(&c.Body, c.CutReads)
+	}
+	return account, true
 }
 
 // refuse counts a request that is refused for lack of memory.
@@ -202,56 +211,6 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// byteLimit bounds the sum of sizes. A single one above the limit is admitted
-// alone.
-type byteLimit struct {
-	limit int64
-	used  atomic.Int64
-}
-
-func (l *byteLimit) acquire(n int64) bool {
-	for {
-		used := l.used.Load()
-		if used > 0 && used+n > l.limit {
-			return false
-		}
-		if l.used.CompareAndSwap(used, used+n) {
-			return true
-		}
-	}
-}
-
-// add counts n more bytes in any case, or fewer if n is negative.
-func (l *byteLimit) add(n int64) { l.used.Add(n) }
-
-// targetBytes is what one request holds of a byteLimit. The length of a chunked
-// body shows only while it is sent.
-type targetBytes struct {
-	limit *byteLimit
-
-	mu       sync.Mutex
-	held     int64
-	released bool
-}
-
-// add counts n more bytes of the body. It does nothing after release.
-func (b *targetBytes) add(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.released {
-		b.held += n
-		b.limit.add(n)
-	}
-}
-
-func (b *targetBytes) release() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.released = true
-	b.limit.add(-b.held)
-	b.held = 0
-}
-
 // size returns the bytes of the request's body, as far as they are known.
 func (q *request) size() int64 { return int64(len(q.body)) + max(0, q.restLen) }
 
@@ -286,7 +245,8 @@
 // bodyRest is the remainder of a request body, which is read while it is sent.
 type bodyRest struct {
 	r       io.Reader
-	reading atomic.Bool // a read has begun and not ended
+	conn    *limits.GuardedConn // on which the body arrives; may be nil
+	reading atomic.Bool         // a read has begun and not ended
 	failed  atomic.Bool
 	onRead  func(n int64) // called with the length of each read; may be nil
 }
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"hyssopbridge/internal/testutil"
+	"hyssopbridge/limits"
 )
 
 // Guards against bodies that are cut, lengthened or wrongly taken for whole at
@@ -116,7 +117,7 @@
 	}
 	for name, n := range map[string]*Node{"host": host, "entry": entry} {
 		testutil.Eventually(t, "the memory of the "+name+" node is free", func() bool {
-			return n.resources.memory.Used() == 0 && n.resources.atTarget.used.Load() == 0
+			return n.resources.memory.Used() == 0 && n.resources.atTarget.Used() == 0
 		})
 	}
 }
@@ -157,7 +158,7 @@
 	n := startNode(t, g)
 	_ = n.SetConfig([]byte("1"), "test")
 	markTested(t, n, "first")
-	n.resources.atTarget.limit = 100 << 10
+	n.resources.atTarget = limits.NewMemory(100<<10, n.resources.now, nil)
 	wantResponse(t, sendOrder(t, n, "alone", 200<<10), http.StatusOK, "")
 	began, finish := make(chan struct{}), make(chan struct{})
 	g.setHandler(func(w io.Writer, r *http.Request) bool {
@@ -188,7 +189,7 @@
 	n := startNode(t, g)
 	_ = n.SetConfig([]byte("1"), "test")
 	markTested(t, n, "first")
-	n.resources.atTarget.limit = 4 << 20
+	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
 	for name, body := range map[string]string{
 		"announced": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 5<<20)),
 		"chunked":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 5<<20, strings.Repeat("z", 5<<20)),
@@ -216,12 +217,31 @@
 		if err != nil || resp.StatusCode != http.StatusOK {
 			t.Errorf("%s: response %v, error %v", name, resp, err)
 		}
-		if used := n.resources.atTarget.used.Load(); used != 0 {
+		if used := n.resources.atTarget.Used(); used != 0 {
 			t.Errorf("%s: %d bytes in flight after the request, want 0", name, used)
 		}
 	}
 }
 
+// Guards against one caller that announces a large body and sends it slowly, and
+// so makes a target refuse all other large bodies until its deadline.
+func TestSlowBodyGivesWayAtTarget(t *testing.T) {
+	g := startTarget(t, "t")
+	n := startNode(t, g)
+	_ = n.SetConfig([]byte("1 600000"), "test")
+	markTested(t, n, "first")
+	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
+	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: slow\r\nContent-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 2<<20))
+	testutil.Eventually(t, "the slow body is in flight", func() bool { return n.resources.atTarget.Used() > 0 })
+	testutil.Eventually(t, "another body is served", func() bool { return sendOrder(t, n, "other", 200<<10).status == http.StatusOK })
+	testutil.Eventually(t, "nothing is in flight", func() bool { return n.resources.atTarget.Used() == 0 })
+}
+
 // Guards against callers that stop in the middle of a streamed body and so make a
 // sound target count as stalled or broken.
 func TestStalledCallerIsNoEvidence(t *testing.T) {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -88,7 +88,7 @@
 	if err := account.Take(streamBytes); err != nil {
 		return nil, err
 	}
-	req.rest, req.restLen = &bodyRest{r: r.Body}, restLength(r.ContentLength, len(body))
+	req.rest, req.restLen = &bodyRest{r: r.Body, conn: limits.ConnOf(r.Context())}, restLength(r.ContentLength, len(body))
 	return req, nil
 }
 
