mesh: refuse a request that waited through a suspension

The version in force is confirmed after a suspension before new requests are served, but a request that waited in a queue meanwhile was sent at once by the version from before, also with a key that was withdrawn. It is now refused as not run until the version is confirmed.

--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -68,8 +68,14 @@
 // without a customer needs no key. On a public route, a request whose key was
 // withdrawn goes on without a customer.
 func (e *entryNode) authorize(q *request, key string, version int64) *resultcode.Error {
+	if q.customer == nil {
+		return nil
+	}
+	if !e.confirmed() { // before the version is read, which the confirmation may replace
+		return notRun(resultcode.StaleConfiguration, "process was suspended while the request waited, and no other node has confirmed the version since")
+	}
 	cfg := e.config()
-	if q.customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
+	if cfg.Version == version || !cfg.HasCustomers() {
 		return nil
 	}
 	if holder := cfg.Customer(key); holder != nil && holder.Name == q.customer.Name {
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -192,6 +192,42 @@
 	}
 }
 
+// Guards against a request that waited during a suspension and then runs by the
+// version from before it, which has lost the request's key meanwhile.
+func TestKeyWithdrawnInQueueDuringSuspension(t *testing.T) {
+	var suspended atomic.Int64
+	g := startTarget(t, "t")
+	release := make(chan struct{})
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		return respondOK(w, r)
+	})
+	n := startNodeWith(t, g, func(c *Config) {
+		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
+	})
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+	other := startCustomerNode(t, nil)
+	connectNodes(t, n, other)
+	setCustomers(t, n, "1 0 secret")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+	wait.Go(func() {
+		if got := send(t, n, "/read/1", "waiting", "X-Key", "secret"); got.status != 503 && got.status != 401 {
+			t.Errorf("status %d for a request that waited during a suspension, want 503 or 401", got.status)
+		}
+	})
+	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+	suspended.Store(int64(suspensionGap + 500*time.Millisecond))
+	setCustomers(t, other, "2 0 another")
+	close(release)
+	wait.Wait()
+	if g.runCount("waiting") != 0 {
+		t.Error("a request ran with a withdrawn key")
+	}
+}
+
 // Guards against a version that is confirmed by a node that was suspended too, as
 // when several processes of one machine sleep at once.
 func TestSuspendedNodeDoesNotConfirm(t *testing.T) {
