mesh: remember refused requests by the hash of their ID

Callers choose the IDs, up to the size of a header, so callers whose requests a target refuses could fill the memory of its node. Only hashes are kept; a collision costs a new connection.

--- a/mesh/refused.go
+++ b/mesh/refused.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"hash/maphash"
 	"sync"
 	"time"
 )
@@ -12,36 +13,45 @@
 // arrive have carried another request or are too old to be reused.
 const refusedMemoryMargin = maxTargetIdle + time.Second
 
-// refusedRequests holds the IDs of the requests that the target of this node
-// refused, until refusedMemoryMargin after their deadlines. A request that is sent again keeps its ID, so
-// the ID alone does not tell a second refusal from a late copy of the first. The
-// connection does, if it carried no request before.
+// refusedRequests holds the requests that the target of this node refused, until
+// refusedMemoryMargin after their deadlines. A request that is sent again keeps
+// its ID, so the ID alone does not tell a second refusal from a late copy of the
+// first. The connection does, if it carried no request before.
+//
+// Callers choose the IDs, so only their hashes are kept. If two collide, the other
+// request goes over a connection of its own as well.
 type refusedRequests struct {
-	mu  sync.Mutex
-	ids map[string]int // number of refusals that are still remembered
+	seed maphash.Seed
+
+	mu     sync.Mutex
+	hashes map[uint64]int // number of refusals that are still remembered
 }
 
-func newRefusedRequests() *refusedRequests { return &refusedRequests{ids: map[string]int{}} }
+func newRefusedRequests() *refusedRequests {
+	return &refusedRequests{seed: maphash.MakeSeed(), hashes: map[uint64]int{}}
+}
 
 // add records a refusal of a request that has the given time left.
 func (r *refusedRequests) add(id string, left time.Duration) {
+	h := maphash.String(r.seed, id)
 	r.mu.Lock()
-	r.ids[id]++
+	r.hashes[h]++
 	r.mu.Unlock()
-	time.AfterFunc(left+refusedMemoryMargin, func() { r.forget(id) })
+	time.AfterFunc(left+refusedMemoryMargin, func() { r.forget(h) })
 }
 
-func (r *refusedRequests) forget(id string) {
+func (r *refusedRequests) forget(hash uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ids[id]--; r.ids[id] == 0 {
-		delete(r.ids, id)
+	if r.hashes[hash]--; r.hashes[hash] == 0 {
+		delete(r.hashes, hash)
 	}
 }
 
 // has reports whether the target refused the request before.
 func (r *refusedRequests) has(id string) bool {
+	h := maphash.String(r.seed, id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ids[id] > 0
+	return r.hashes[h] > 0
 }
--- a/mesh/refused_test.go
+++ b/mesh/refused_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -108,8 +110,30 @@
 		time.Sleep(2 * time.Second)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if len(r.ids) > 0 {
-			t.Errorf("%d refusals are kept", len(r.ids))
+		if len(r.hashes) > 0 {
+			t.Errorf("%d refusals are kept", len(r.hashes))
 		}
 	})
 }
+
+// Guards against memory that callers fill with long request IDs while targets
+// refuse their requests.
+func TestRefusalsOfLongIDs(t *testing.T) {
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	r := newRefusedRequests()
+	for i := range 2000 {
+		r.add(fmt.Sprint(strings.Repeat("x", 8<<10), i), time.Minute)
+	}
+	if used := heap() - before; used > 4<<20 {
+		t.Errorf("2000 refused requests hold %d bytes, want at most 4 MiB", used)
+	}
+	if !r.has(fmt.Sprint(strings.Repeat("x", 8<<10), 1999)) || r.has("other") {
+		t.Error("a refusal is not remembered by its ID")
+	}
+}
