mesh: take a lack of descriptors for no failure of the target

A host node whose limit on outgoing connections was reached recorded each refused connection to its target as a failure of the target, which ejects a sound target. Such an attempt now says nothing about it.

TestConnectionLimitIsNoEvidence: 2 failures recorded for one request before, none after.

--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -188,6 +188,10 @@
 }
 
 func outcomeOfError(ctx context.Context, err error) admission.Outcome {
+	var limited *resultcode.Error
+	if errors.As(err, &limited) && limited.Code == resultcode.ConnectionLimit {
+		return admission.Neutral // this node has no free descriptors
+	}
 	switch cause := context.Cause(ctx); {
 	case cause == nil:
 		return admission.TransportError
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -13,6 +13,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"hyssopbridge/admission"
 	"hyssopbridge/internal/testutil"
 	"hyssopbridge/limits"
 )
@@ -242,6 +243,30 @@
 	testutil.Eventually(t, "nothing is in flight", func() bool { return n.resources.atTarget.Used() == 0 })
 }
 
+// Guards against a host node without free descriptors that takes its sound target
+// for broken or absent.
+func TestConnectionLimitIsNoEvidence(t *testing.T) {
+	g := startTarget(t, "t")
+	host, entry := startNode(t, g), startNode(t, nil)
+	connectNodes(t, host, entry)
+	for _, n := range []*Node{host, entry} {
+		_ = n.SetConfig([]byte("1"), "test")
+	}
+	markTested(t, host, "first")
+	failed := counterOf(host, "mesh_target_answers_total."+admission.TransportError.String())
+	host.resources.outgoing.SetLimit(0)
+	host.resources.closeIdle()
+	got := send(t, entry, "/read/1", "limited", "X-Left", "500")
+	if got.status != http.StatusServiceUnavailable || got.header.Get(headerRan) != "no" {
+		t.Errorf("status %d, ran %q, want 503 and no", got.status, got.header.Get(headerRan))
+	}
+	if after := counterOf(host, "mesh_target_answers_total."+admission.TransportError.String()); after != failed {
+		t.Errorf("%d failures of the target were recorded", after-failed)
+	}
+	host.resources.outgoing.SetLimit(100)
+	wantResponse(t, send(t, entry, "/read/1", "again"), http.StatusOK, "")
+}
+
 // Guards against callers that stop in the middle of a streamed body and so make a
 // sound target count as stalled or broken.
 func TestStalledCallerIsNoEvidence(t *testing.T) {
