--- a/limits/quota.go
+++ b/limits/quota.go
@@ -325,7 +325,7 @@
 	l.ownFromNow(now)
 }
 
-// ownFromNow lets the buckets of further keys start empty.
+// ownFromNow lets the buckets of further keys be filled from now on.
 func (l *Quotas) ownFromNow(now time.Duration) {
 	l.ownedSince = l.credit(now)
 	l.share.Forfeit(now)
@@ -529,7 +529,7 @@
 }
 
 // giveUpPending gives up the pending request, whose node no longer owns the key.
-// Its refunds are not repeated, since the new owner starts with an empty bucket.
+// Its refunds are not repeated, since that node may have credited them.
 func (l *Quotas) giveUpPending(e *quotaEntry) {
 	e.queue = append(e.asked, e.queue...)
 	e.asked, e.refund = nil, e.refund-e.pending.Refund
--- a/mesh/headers.go
+++ b/mesh/headers.go
@@ -26,6 +26,8 @@
 	headerFromTarget  = "Hb-Answer"  // set if the response is the target's
 	headerResult      = "Hb-Result"  // result code of a response that is not the target's
 	headerRan         = "Hb-Ran"     // whether the request was run, sent with headerResult
-	headerConfig      = "Hb-Config"  // request for the configuration in force, or with headerConfigVersion for its version
-	headerConfigAfter = "Hb-After"   // version that the asking node has, without a newer one the response is empty; in a response, the version in force
+	headerConfig      = "Hb-Config"  // request for the configuration in force, or with the value headerConfigVersion for its version
+	// headerConfigAfter is the version that the asking node has, and the response is
+	// empty if there is no newer one. In a response it is the version in force.
+	headerConfigAfter = "Hb-After"
 )
--- a/mesh/versioncheck.go
+++ b/mesh/versioncheck.go
@@ -87,7 +87,7 @@
 	answers := make(chan bool, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			version, err := n.remote.fetchVersion(ctx, addr)
+			version, err := n.remote.requestVersion(ctx, addr)
 			if err == nil {
 				n.peers.noteVersion(addr, version)
 			}
@@ -140,8 +140,8 @@
 	}
 }
 
-// fetchVersion asks a node for the number of the version in force there.
-func (c *nodeClient) fetchVersion(ctx context.Context, addr string) (int64, error) {
+// requestVersion asks a node for the number of the version in force there.
+func (c *nodeClient) requestVersion(ctx context.Context, addr string) (int64, error) {
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/"}, Host: addr,
 		Header: http.Header{"User-Agent": nil, headerConfig: {headerConfigVersion}}, Body: http.NoBody,
