--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -228,6 +228,35 @@
 	}
 }
 
+// Guards against a request that a target refused and that is sent to another one
+// although its key was withdrawn meanwhile.
+func TestKeyWithdrawnAfterRefusal(t *testing.T) {
+	targets := []*stubTarget{startTarget(t, "a"), startTarget(t, "b")}
+	nodes := []*Node{startCustomerNode(t, targets[0]), startCustomerNode(t, targets[1])}
+	connectNodes(t, nodes...)
+	for i, n := range nodes {
+		setCustomers(t, n, "1 0 secret")
+		wantResponse(t, send(t, nodes[i], "/read/1", "warm", "X-Key", "secret"), 200, "")
+	}
+	var arrivals atomic.Int64
+	for _, g := range targets {
+		g.setHandler(func(w io.Writer, r *http.Request) bool {
+			if arrivals.Add(1) == 1 {
+				for _, n := range nodes {
+					_ = n.SetConfig([]byte("2 0 another"), "test")
+				}
+				writeTestRefusal(w, r.Header.Get("X-Id"))
+				return true
+			}
+			return respondOK(w, r)
+		})
+	}
+	got := send(t, nodes[0], "/read/1", "refused", "X-Key", "secret")
+	if got.status != 401 || arrivals.Load() != 1 {
+		t.Errorf("status %d, %d arrivals, want 401 and 1", got.status, arrivals.Load())
+	}
+}
+
 // Guards against a version that is confirmed by a node that was suspended too, as
 // when several processes of one machine sleep at once.
 func TestSuspendedNodeDoesNotConfirm(t *testing.T) {
