--- a/limits/doc.go
+++ b/limits/doc.go
@@ -18,8 +18,17 @@
 // grants small allowances, which expire, to the nodes that request them. A node
 // that cannot reach the owner falls back to a share of the rate.
 //
+// Quotas does so for package mesh, where a token is used only after its owner has
+// deducted it, so that the rate holds whatever is lost or repeated. FleetShare
+// fills the buckets of an owner by its contact with the fleet instead of by time,
+// so that owners which cannot reach each other share the rate.
+//
+// Memory is a budget of bytes for the bodies that a process holds or a target is
+// sent, and ConnGuard bounds a server's connections. Both end what is furthest
+// behind when they are short; Lag measures how far that is.
+//
 // StallDetector detects a body that has stopped making progress, and Listener
-// limits the connections of a net.Listener. Except for Slots.Acquire and
-// Listener, callers pass the current time, as a duration on one monotonic
-// clock.
+// limits the connections of a net.Listener. Except for Slots.Acquire,
+// Memory, ConnGuard and Listener, callers pass the current time, as a duration on
+// one monotonic clock.
 package limits
