--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -36,34 +36,52 @@
 
 // identify returns the customer that holds the request's key, or nil if callers
 // need none. A key that this node does not know may belong to a version that
-// another node has already; such a request is refused as not run rather than as
-// unauthorized.
+// another node has already. So a node of each zone is asked, and the request is
+// refused as not run rather than as unauthorized if one has a newer version or
+// none answers.
 func (e *entryNode) identify(r *http.Request, cfg *dynamic.Config, route *dynamic.Route) (*dynamic.Customer, error) {
 	if !cfg.HasCustomers() {
 		return nil, nil
 	}
-	customer := cfg.Customer(r.Header.Get(e.headers.Key))
-	switch {
-	case customer != nil || route.Public:
+	key := r.Header.Get(e.headers.Key)
+	customer := cfg.Customer(key)
+	if customer != nil || route.Public {
 		return customer, nil
-	case e.behind(cfg.Version):
+	}
+	if key != "" && !e.behind(cfg.Version) {
+		if err := e.versions.wait(r.Context()); err != nil {
+			return nil, notRun(resultcode.StaleConfiguration, "version %d does not hold the key, and no other node confirms the version: %w", cfg.Version, err)
+		}
+	}
+	if e.behind(cfg.Version) {
 		return nil, notRun(resultcode.StaleConfiguration, "version %d does not hold the key, and another node has a newer version", cfg.Version)
 	}
 	return nil, notRun(resultcode.UnknownKey, "version %d does not hold the key", cfg.Version)
 }
 
 // authorize reports whether the configuration in force still gives the key to
-// the customer that it belonged to in an earlier version. A request without a
-// customer needs no key.
-func (e *entryNode) authorize(customer *dynamic.Customer, key string, version int64) *resultcode.Error {
+// the request's customer, to which it belonged in an earlier version. A request
+// without a customer needs no key. On a public route, a request whose key was
+// withdrawn goes on without a customer.
+func (e *entryNode) authorize(q *request, key string, version int64) *resultcode.Error {
+	if q.customer == nil {
+		return nil
+	}
+	if !e.confirmed() { // before the version is read, which the confirmation may replace
+		return notRun(resultcode.StaleConfiguration, "process was suspended while the request waited, and no other node has confirmed the version since")
+	}
 	cfg := e.config()
-	if customer == nil || cfg == nil || cfg.Version == version || !cfg.HasCustomers() {
+	if cfg.Version == version || !cfg.HasCustomers() {
 		return nil
 	}
-	if holder := cfg.Customer(key); holder == nil || holder.Name != customer.Name {
-		return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
+	if holder := cfg.Customer(key); holder != nil && holder.Name == q.customer.Name {
+		return nil
+	}
+	if route := cfg.Match(q.host, q.url.EscapedPath()); route != nil && route.Public {
+		delete(q.header, http.CanonicalHeaderKey(e.headers.Customer))
+		return nil
 	}
-	return nil
+	return notRun(resultcode.UnknownKey, "version %d has withdrawn the key that version %d held", cfg.Version, version)
 }
 
 // setCustomer replaces what the caller stated about its customer. The target
@@ -72,7 +90,7 @@
 func (e *entryNode) setCustomer(r *http.Request, q *request, customer *dynamic.Customer, version int64) {
 	key := r.Header.Get(e.headers.Key)
 	q.customer = customer
-	q.authorize = func() *resultcode.Error { return e.authorize(customer, key, version) }
+	q.authorize = func() *resultcode.Error { return e.authorize(q, key, version) }
 	delete(q.header, http.CanonicalHeaderKey(e.headers.Key))
 	name := http.CanonicalHeaderKey(e.headers.Customer)
 	delete(q.header, name)
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -162,9 +163,121 @@
 	}
 }
 
+// Guards against status 401 for a request of a public route whose key is
+// withdrawn while it waits: it runs without a customer, like one that arrives
+// with that key now.
+func TestKeyWithdrawnOnPublicRoute(t *testing.T) {
+	g := startTarget(t, "t")
+	release := make(chan struct{})
+	var customers sync.Map
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		customers.Store(r.Header.Get("X-Id"), r.Header.Get("X-Customer"))
+		return respondOK(w, r)
+	})
+	n := startCustomerNode(t, g)
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+	setCustomers(t, n, "1 0 secret")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+	wait.Go(func() { wantResponse(t, send(t, n, "/public/1", "waiting", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+	setCustomers(t, n, "2 0 another")
+	close(release)
+	wait.Wait()
+	if name, ran := customers.Load("waiting"); !ran || name != "" {
+		t.Errorf("ran %v with customer %q, want no customer", ran, name)
+	}
+}
+
+// Guards against a request that waited during a suspension and then runs by the
+// version from before it, which has lost the request's key meanwhile.
+func TestKeyWithdrawnInQueueDuringSuspension(t *testing.T) {
+	var suspended atomic.Int64
+	g := startTarget(t, "t")
+	release := make(chan struct{})
+	g.setHandler(func(w io.Writer, r *http.Request) bool {
+		<-release
+		return respondOK(w, r)
+	})
+	n := startNodeWith(t, g, func(c *Config) {
+		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
+	})
+	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+	other := startCustomerNode(t, nil)
+	connectNodes(t, n, other)
+	setCustomers(t, n, "1 0 secret")
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+	wait.Go(func() {
+		if got := send(t, n, "/read/1", "waiting", "X-Key", "secret"); got.status != 503 && got.status != 401 {
+			t.Errorf("status %d for a request that waited during a suspension, want 503 or 401", got.status)
+		}
+	})
+	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+	suspended.Store(int64(suspensionGap + 500*time.Millisecond))
+	setCustomers(t, other, "2 0 another")
+	close(release)
+	wait.Wait()
+	if g.runCount("waiting") != 0 {
+		t.Error("a request ran with a withdrawn key")
+	}
+}
+
+// Guards against a request that a target refused and that is sent to another one
+// although its key was withdrawn meanwhile.
+func TestKeyWithdrawnAfterRefusal(t *testing.T) {
+	targets := []*stubTarget{startTarget(t, "a"), startTarget(t, "b")}
+	nodes := []*Node{startCustomerNode(t, targets[0]), startCustomerNode(t, targets[1])}
+	connectNodes(t, nodes...)
+	for i, n := range nodes {
+		setCustomers(t, n, "1 0 secret")
+		wantResponse(t, send(t, nodes[i], "/read/1", "warm", "X-Key", "secret"), 200, "")
+	}
+	var arrivals atomic.Int64
+	for _, g := range targets {
+		g.setHandler(func(w io.Writer, r *http.Request) bool {
+			if arrivals.Add(1) == 1 {
+				for _, n := range nodes {
+					_ = n.SetConfig([]byte("2 0 another"), "test")
+				}
+				writeTestRefusal(w, r.Header.Get("X-Id"))
+				return true
+			}
+			return respondOK(w, r)
+		})
+	}
+	got := send(t, nodes[0], "/read/1", "refused", "X-Key", "secret")
+	if got.status != 401 || arrivals.Load() != 1 {
+		t.Errorf("status %d, %d arrivals, want 401 and 1", got.status, arrivals.Load())
+	}
+}
+
+// Guards against a version that is confirmed by a node that was suspended too, as
+// when several processes of one machine sleep at once.
+func TestSuspendedNodeDoesNotConfirm(t *testing.T) {
+	n, other := startCustomerNode(t, nil), startCustomerNode(t, nil)
+	connectNodes(t, n, other)
+	setCustomers(t, n, "1 0 secret")
+	setCustomers(t, other, "1 0 secret")
+	if err := n.confirmVersion(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	other.suspension.unconfirmed.Store(1)
+	if err := n.confirmVersion(t.Context()); err == nil {
+		t.Error("a node that was suspended confirmed that there is no newer version")
+	}
+}
+
 // Guards against status 401 for a key that another node's version holds.
 func TestNewKeyAtNodeBehind(t *testing.T) {
 	n := startCustomerNode(t, startTarget(t, "t"))
+	// The announcing node below has no process that could be asked.
+	n.entryNode.versions = &versionCheck{ask: func(context.Context) error { return nil }}
 	setCustomers(t, n, "1 0 secret")
 	announce := func(version int64) {
 		n.peers.mu.Lock()
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -93,8 +93,8 @@
 		reserved.Release(admission.Neutral)
 		return nil, notRun(resultcode.DeadlineTooShort, "deadline passed before the request was sent")
 	}
-	size := q.size()
-	if !h.resources.acquireAtTarget(size) {
+	atTarget, ok := h.resources.acquireAtTarget(q)
+	if !ok {
 		reserved.Release(admission.Neutral)
 		return nil, h.resources.refuse(errTargetMemory)
 	}
@@ -107,7 +107,7 @@
 	start := time.Now()
 	run := h.outboundCalls.beginRun(runSource(r.Idempotent), r.Retry)
 	resp, outcome, err := x.do(ctx, q)
-	h.resources.releaseAtTarget(size)
+	atTarget.Close()
 	if isErrorResponse(resp) && h.outboundCalls.explainFailure() {
 		outcome = admission.CallFailed
 	}
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -82,7 +82,8 @@
 	callers  *limits.ConnGuard
 	nodes    *limits.ConnGuard
 	outgoing *limits.ConnLimiter
-	atTarget byteLimit
+	// atTarget bounds the bodies in flight to the target of this host.
+	atTarget *limits.Memory
 	// closeIdle closes idle outgoing connections.
 	closeIdle func()
 	log       *eventLog
@@ -96,13 +97,15 @@
 	s := &resources{
 		now:      now,
 		outgoing: limits.NewConnLimiter(int(outgoingSockets * float64(r.Sockets))),
-		atTarget: byteLimit{limit: int64(targetShare * float64(r.MemoryBytes))},
 		log:      log, metrics: m,
 	}
-	s.memory = limits.NewMemory(int64(bodyShare*float64(r.MemoryBytes)), now, func(held int64, behind time.Duration) {
-		m.count(metricMemoryRevoked)
-		log.memoryRevoked(held, behind)
-	})
+	budget := func(share float64) *limits.Memory {
+		return limits.NewMemory(int64(share*float64(r.MemoryBytes)), now, func(held int64, behind time.Duration) {
+			m.count(metricMemoryRevoked)
+			log.memoryRevoked(held, behind)
+		})
+	}
+	s.memory, s.atTarget = budget(bodyShare), budget(targetShare)
 	guard := func(name string, total int) *limits.ConnGuard {
 		return limits.NewConnGuard(total, int(perAddress*float64(total)), 0, now, func(action, ip string) {
 			m.count(metricConnLimit + "." + name + "_" + action)
@@ -129,16 +132,28 @@
 	return s.memory.Open()
 }
 
-// acquireAtTarget counts the bytes of a request body that is sent to the target.
-// It reports false if the target has enough in flight.
-func (s *resources) acquireAtTarget(n int64) bool { return s == nil || s.atTarget.acquire(n) }
-
-// releaseAtTarget states that a request has ended for which acquireAtTarget
-// returned true.
-func (s *resources) releaseAtTarget(n int64) {
-	if s != nil {
-		s.atTarget.release(n)
+// acquireAtTarget counts the bytes of a request body that is sent to the target,
+// until the account is closed. It reports false if the target has enough in
+// flight. Small bodies do not count, so that a large one does not keep them out.
+func (s *resources) acquireAtTarget(q *request) (*limits.MemoryAccount, bool) {
+	size := q.size()
+	if s == nil || (q.rest == nil && size <= smallBody) {
+		return nil, true
+	}
+	account := s.atTarget.Open()
+	if !account.TakeIfIdle(size) && !account.TryTake(size) {
+		return nil, false
+	}
+	if q.rest == nil {
+		return account, true
 	}
+	if q.restLen < 0 {
+		q.rest.onRead = account.Force // the length shows only while the body is sent
+	}
+	if c := q.rest.conn; c != nil {
+		account.SetTransfer(&c.Body, c.CutReads)
+	}
+	return account, true
 }
 
 // refuse counts a request that is refused for lack of memory.
@@ -196,27 +211,6 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// byteLimit bounds the sum of sizes. A single one above the limit is admitted
-// alone.
-type byteLimit struct {
-	limit int64
-	used  atomic.Int64
-}
-
-func (l *byteLimit) acquire(n int64) bool {
-	for {
-		used := l.used.Load()
-		if used > 0 && used+n > l.limit {
-			return false
-		}
-		if l.used.CompareAndSwap(used, used+n) {
-			return true
-		}
-	}
-}
-
-func (l *byteLimit) release(n int64) { l.used.Add(-n) }
-
 // size returns the bytes of the request's body, as far as they are known.
 func (q *request) size() int64 { return int64(len(q.body)) + max(0, q.restLen) }
 
@@ -251,8 +245,10 @@
 // bodyRest is the remainder of a request body, which is read while it is sent.
 type bodyRest struct {
 	r       io.Reader
+	conn    *limits.GuardedConn   // on which the body arrives; may be nil
 	reading atomic.Bool           // a read has begun and not ended
 	failure atomic.Pointer[error] // of the body; nil if none
+	onRead  func(n int64)         // called with the length of each read; may be nil
 }
 
 // Read implements io.Reader.
@@ -260,6 +256,9 @@
 	b.reading.Store(true)
 	n, err := b.r.Read(p)
 	b.reading.Store(false)
+	if b.onRead != nil {
+		b.onRead(int64(n))
+	}
 	if err != nil && err != io.EOF {
 		b.failure.Store(&err)
 	}
