mesh: check the key again before a refused request goes to another target

Cause: call.authorize took a refusal of a target for an attempt that may have run, so that the request ran at a second target although its key had been withdrawn meanwhile (found by the review, TestKeyWithdrawnAfterRefusal).

Change: the key is checked as long as the request has provably not run.

--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -112,10 +112,10 @@
 	}
 }
 
-// authorize checks the request's key again before the request is sent to a
-// target for the first time, since it may have waited for a slot.
+// authorize checks the request's key again before the request is sent to a target
+// as long as it has provably not run, since it may have waited for a slot.
 func (c *call) authorize() error {
-	if c.delivered > 0 || c.q.authorize == nil {
+	if len(c.tried) > 0 || c.q.authorize == nil {
 		return nil
 	}
 	if err := c.q.authorize(); err != nil {
