mesh: do not set response fields while a body is read

Cause: http.MaxBytesReader sets "Connection: close" in the header of the response when a body passes its limit. The rest of a long body is read by the goroutine that sends it, while the response of a target that responds early is written by another: concurrent writes to a map, which can end the process.

Change: the reader no longer gets the response. The node closes the connection itself after it has refused a body for its length.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -171,7 +171,9 @@
 	if err := control.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, cfg.Limits.BodyBytes)
+	// Given w, the reader would set a field of the response. It is read by another
+	// goroutine while the response of a target that responds early is written.
+	r.Body = http.MaxBytesReader(nil, r.Body, cfg.Limits.BodyBytes)
 	e.resources.monitor(r, account)
 	q, err := readRequest(r, id, account)
 	if err == nil && q.rest == nil {
@@ -203,6 +205,9 @@
 	if id := r.Header.Get(e.headers.RequestID); id != "" {
 		h[http.CanonicalHeaderKey(e.headers.RequestID)] = []string{id}
 	}
+	if resultErr.Code == resultcode.BodyTooLarge {
+		h.Set("Connection", "close") // the caller may send far more
+	}
 	text := fmt.Sprintln(resultErr.Code)
 	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	h["Content-Length"] = []string{strconv.Itoa(len(text))}
