mesh, upstream: end an exchange when its body fails; blame no target

Causes: an exchange whose streamed body failed, such as by passing the limit, waited for the target's response until the deadline and held its slot. The failure then counted against the target, or the path to its node.

Change: a body that fails ends the exchange at once, so that the target sees its connection closed; a failed write still leaves time for the response. The result states the body as the reason and promises nothing. A request that ended before its first write is reported by its own end and is no evidence.

--- a/mesh/brokenrequest_test.go
+++ b/mesh/brokenrequest_test.go
@@ -13,6 +13,7 @@
 
 	"hyssopbridge/config/dynamic"
 	"hyssopbridge/internal/testutil"
+	"hyssopbridge/placement"
 )
 
 // brokenHeaderTimeout is the header timeout of nodes in tests of heads that
@@ -261,3 +262,77 @@
 		}
 	}
 }
+
+// Guards against a target that is held until the deadline by a streamed body
+// which fails: one that passes the limit, is malformed, or whose caller leaves.
+func TestFailedBodyFreesTarget(t *testing.T) {
+	const limit = 2 * maxBuffered
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("b", 64<<10))
+	for name, end := range map[string]func(c *net.TCPConn){
+		"passes the limit": func(c *net.TCPConn) { _, _ = io.WriteString(c, strings.Repeat(chunk, limit/(64<<10))) },
+		"bad chunk":        func(c *net.TCPConn) { _, _ = io.WriteString(c, "zz\r\n") },
+		"caller closes its sending side": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+		},
+		"caller resets": func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			c.Close()
+		},
+	} {
+		for _, path := range orderPaths {
+			for _, early := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, target responds early %v", name, path, early), func(t *testing.T) {
+					t.Parallel()
+					g := startHeadTarget(t, func(c *net.TCPConn, br *bufio.Reader, r *http.Request) {
+						if early {
+							fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Sig: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), longBody, strings.Repeat("b", 2*maxBuffered))
+						}
+						readWholeOrder(c, br, r)
+					})
+					host := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, decodeWithBodyLimit(limit))
+					entry := host
+					if path != orderPaths[0] {
+						entry = startNodeWith(t, nil, decodeWithBodyLimit(limit))
+						connectNodes(t, entry, host)
+					}
+					for _, n := range []*Node{entry, host} {
+						_ = n.SetConfig([]byte("1 60000"), "test") // the deadline is later than the end of the test
+					}
+					markTested(t, entry, "first")
+					c := dialCaller(t, entry)
+					_, _ = io.WriteString(c, orderHead("x", "Transfer-Encoding: chunked")+"\r\n"+strings.Repeat(chunk, maxBuffered/(64<<10)+1))
+					testutil.Eventually(t, "the order begins", func() bool { return len(g.began) > 0 })
+					end(c)
+					got := readStatuses(c)
+					g.checkPromises(t, got)
+					if !early && name != "caller resets" && (len(got) != 1 || got[0] != http.StatusBadGateway) {
+						t.Errorf("statuses %d, want 502", got)
+					}
+					testutil.Eventually(t, "the slot is free", func() bool { return host.gate.Status().Running == 0 })
+					if status := host.gate.Status(); status.Ejected {
+						t.Error("the target counts as failed")
+					}
+					for _, cand := range entry.view.Rank(placement.Request{Service: testService}) {
+						if cand.InBackoff {
+							t.Error("the path to the host node counts as failed")
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// decodeWithBodyLimit makes a node use configurations with the given limit on
+// bodies in bytes.
+func decodeWithBodyLimit(limit int64) func(*Config) {
+	return func(c *Config) {
+		c.Decode = func(raw []byte) (*dynamic.Config, error) {
+			cfg, err := decodeTest(raw)
+			if err == nil {
+				cfg.Limits.BodyBytes = limit
+			}
+			return cfg, err
+		}
+	}
+}
--- a/mesh/exchange.go
+++ b/mesh/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -61,7 +62,11 @@
 		if q.rest.awaited() {
 			outcome = admission.Neutral
 		}
-		return nil, outcome, resultOfError(ctx, err)
+		result := q.resultOfBody(ctx, err)
+		if result == nil {
+			result = resultOfError(ctx, err)
+		}
+		return nil, outcome, result
 	}
 	if e := x.refusalError(httpResp); e != nil {
 		httpResp.Body.Close()
@@ -74,7 +79,11 @@
 	}
 	resp, err := readResponse(httpResp, x.resources.openAccount())
 	if err != nil {
-		return nil, outcomeOfError(ctx, err), resultcode.New(resultcode.Truncated, "answer of the target ended early: %w", err)
+		outcome := outcomeOfError(ctx, err)
+		if q.rest.awaited() {
+			outcome = admission.Neutral
+		}
+		return nil, outcome, resultcode.New(resultcode.Truncated, "answer of the target ended early: %w", err)
 	}
 	return resp, outcomeOfStatus(resp.status), nil
 }
@@ -172,14 +181,20 @@
 }
 
 // resultOfError converts the error of an exchange to a result. It states "not
-// run" only if no byte of the request was written.
+// run" only if no byte of the request was written. The deadline of the request
+// and a caller that left say nothing about the target.
 func resultOfError(ctx context.Context, err error) *resultcode.Error {
-	var ue *upstream.Error
-	if errors.As(err, &ue) && ue.Stage == upstream.NotSent {
+	notSent := isNotSent(err)
+	cause := context.Cause(ctx)
+	timedOut := errors.Is(cause, context.DeadlineExceeded)
+	switch {
+	case notSent && timedOut:
+		return notRun(resultcode.DeadlineTooShort, "%w", err)
+	case notSent && cause != nil:
+		return notRun(resultcode.CallerGone, "%w", err)
+	case notSent:
 		return notRun(resultcode.NoTarget, "%w", err)
-	}
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, context.DeadlineExceeded):
+	case timedOut:
 		return resultcode.New(resultcode.Timeout, "%w", err)
 	case cause != nil:
 		return resultcode.New(resultcode.CallerGone, "%w", err)
@@ -187,10 +202,36 @@
 	return resultcode.New(resultcode.TargetError, "%w", err)
 }
 
+// isNotSent reports whether err states that no byte of a request was written.
+func isNotSent(err error) bool {
+	var ue *upstream.Error
+	return errors.As(err, &ue) && ue.Stage == upstream.NotSent
+}
+
+// resultOfBody converts the error of an exchange that ended because the body of
+// the request failed after a part of the request was sent. It returns nil if the
+// exchange ended for another reason.
+func (q *request) resultOfBody(ctx context.Context, err error) *resultcode.Error {
+	failure := q.rest.err() // net/http hides it in err
+	if failure == nil || isNotSent(err) || ctx.Err() != nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(failure, &tooLarge):
+		return resultcode.New(resultcode.BodyTooLarge, "%w", err)
+	case errors.Is(failure, os.ErrDeadlineExceeded):
+		return resultcode.New(resultcode.Timeout, "%w", err) // the body has the deadline of the request
+	}
+	return resultcode.New(resultcode.BodyStalled, "%w", err)
+}
+
 func outcomeOfError(ctx context.Context, err error) admission.Outcome {
 	switch cause := context.Cause(ctx); {
 	case cause == nil:
 		return admission.TransportError
+	case isNotSent(err):
+		return admission.Neutral // the target got nothing that it could respond to
 	case errors.Is(cause, context.DeadlineExceeded):
 		return admission.Timeout
 	}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -122,7 +122,7 @@
 		return resp, err
 	}
 	reserved.ResponseStarted()
-	resp.rest = &releasingBody{ReadCloser: resp.rest, ctx: ctx, release: func(e admission.Outcome) { reserved.Release(e); cancel() }}
+	resp.rest = &releasingBody{ReadCloser: resp.rest, ctx: ctx, request: q.rest, release: func(e admission.Outcome) { reserved.Release(e); cancel() }}
 	return resp, err
 }
 
@@ -139,6 +139,7 @@
 type releasingBody struct {
 	io.ReadCloser
 	ctx     context.Context
+	request *bodyRest // remainder of the request's body, which may still be sent
 	release func(admission.Outcome)
 	ended   bool
 }
@@ -150,7 +151,7 @@
 	tooLate := b.ctx.Err() != nil
 	n, err := b.ReadCloser.Read(p)
 	switch {
-	case err != nil && tooLate:
+	case err != nil && (tooLate || b.request.err() != nil):
 		b.end(admission.Neutral)
 	case err != nil:
 		b.end(outcomeOfStreamEnd(err))
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -251,8 +251,8 @@
 // bodyRest is the remainder of a request body, which is read while it is sent.
 type bodyRest struct {
 	r       io.Reader
-	reading atomic.Bool // a read has begun and not ended
-	failed  atomic.Bool
+	reading atomic.Bool           // a read has begun and not ended
+	failure atomic.Pointer[error] // of the body; nil if none
 }
 
 // Read implements io.Reader.
@@ -261,14 +261,26 @@
 	n, err := b.r.Read(p)
 	b.reading.Store(false)
 	if err != nil && err != io.EOF {
-		b.failed.Store(true)
+		b.failure.Store(&err)
 	}
 	return n, err
 }
 
+// err returns the failure of the body, such as its limit or that its sender left,
+// or nil.
+func (b *bodyRest) err() error {
+	if b == nil {
+		return nil
+	}
+	if e := b.failure.Load(); e != nil {
+		return *e
+	}
+	return nil
+}
+
 // awaited reports whether the sender of the body owes the rest of it, so that
 // the failure of an exchange says nothing about the target.
-func (b *bodyRest) awaited() bool { return b != nil && (b.failed.Load() || b.reading.Load()) }
+func (b *bodyRest) awaited() bool { return b != nil && (b.err() != nil || b.reading.Load()) }
 
 // onDone is a reader that calls done when r has ended.
 type onDone struct {
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -106,6 +106,9 @@
 	httpResp, err := r.nodes.client.Do(ctx, r.addr, out, upstream.Options{Stream: q.rest != nil})
 	if err != nil {
 		defer cancel()
+		if e := q.resultOfBody(ctx, err); e != nil {
+			return nil, e
+		}
 		return nil, hopError(ctx, err)
 	}
 	r.nodes.updateStatus(r.addr, httpResp.Header)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -35,6 +35,7 @@
 	// for one does not let the time of testing/synctest pass.
 	writing     chan struct{}
 	written     int64 // bytes written in the current exchange; guarded by writing
+	writeFailed bool  // a write of the connection returned an error; guarded by writing
 	writesEnded bool  // guarded by writing
 }
 
@@ -88,9 +89,18 @@
 	}
 	n, err := w.c.Conn.Write(p)
 	w.c.written += int64(n)
+	w.c.writeFailed = w.c.writeFailed || err != nil
 	return n, err
 }
 
+// hasFailedWrite reports whether a write failed or was forbidden. Otherwise an
+// error of sending is one of the request's body.
+func (c *conn) hasFailedWrite() bool {
+	c.lockWrites()
+	defer c.unlockWrites()
+	return c.writeFailed || c.writesEnded
+}
+
 // headerLimiter bounds the bytes read while a header section is parsed.
 type headerLimiter struct {
 	r    io.Reader
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -144,11 +144,19 @@
 	return resp, nil
 }
 
+// send sends the request. If its body fails, the exchange ends, since the server
+// may otherwise wait for the rest of the body until the context ends. If a write
+// fails, the response is still awaited: the server may have sent it before it
+// closed the connection.
 func (x *exchange) send(req *http.Request) {
-	defer close(x.sendDone)
-	x.sendErr = req.Write(x.conn.bw)
-	if x.sendErr == nil {
-		x.sendErr = x.conn.bw.Flush()
+	err := req.Write(x.conn.bw)
+	if err == nil {
+		err = x.conn.bw.Flush()
+	}
+	x.sendErr = err
+	close(x.sendDone)
+	if err != nil && !x.conn.hasFailedWrite() {
+		_ = x.conn.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
 
@@ -270,6 +278,9 @@
 	if err != nil {
 		b.x.finish(err == io.EOF && b.reuse)
 	}
+	if err != nil && err != io.EOF {
+		err = b.x.preferSendError(err)
+	}
 	return n, err
 }
 
