--- a/mesh/reusedaddress_test.go
+++ b/mesh/reusedaddress_test.go
@@ -92,24 +92,24 @@
 // Guards against a request that is sent to a new instance, or by a new host
 // node, under a reservation of the one that had the address before.
 func TestReservationOfFormerOwnerOfAddress(t *testing.T) {
-	for name, run := range map[string]func(t *testing.T, n *Node, old *stubTarget) (err error, next *stubTarget){
-		"new instance at the same address": func(t *testing.T, n *Node, old *stubTarget) (error, *stubTarget) {
+	for name, run := range map[string]func(t *testing.T, n *Node, old *stubTarget) (next *stubTarget, err error){
+		"new instance at the same address": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
 			reserved, req := reserveFor(t, n, "old")
 			old.close()
 			next := startTargetAt(t, "new", old.addr)
 			n.SetTarget(servingTarget("new"), next.addr, false)
 			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
-			return err, next
+			return next, err
 		},
-		"restart under the same ID": func(t *testing.T, n *Node, old *stubTarget) (error, *stubTarget) {
+		"restart under the same ID": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
 			reserved, req := reserveFor(t, n, "old")
 			old.close()
 			next := startTargetAt(t, "old", old.addr)
 			n.SetTarget(servingTarget("old"), next.addr, true)
 			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
-			return err, next
+			return next, err
 		},
-		"new host node at the same address": func(t *testing.T, n *Node, old *stubTarget) (error, *stubTarget) {
+		"new host node at the same address": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
 			entry := startNode(t, nil)
 			r, err := entry.remote.reserve(t.Context(), n.cfg.NodeAddr, admission.Request{Target: "old", Service: testService, AllowUntested: true, MaxRisk: 1})
 			if err != nil {
@@ -121,14 +121,14 @@
 			next := startTarget(t, "old")
 			startNodeWith(t, next, func(c *Config) { c.NodeAddr = n.cfg.NodeAddr })
 			_, err = r.run(t.Context(), testOrder(entry, time.Second))
-			return err, next
+			return next, err
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			old := startTarget(t, "old")
 			n := startNode(t, old)
 			_ = n.SetConfig([]byte("1"), "test")
-			err, next := run(t, n, old)
+			next, err := run(t, n, old)
 			if got := asResultError(err).Ran; got != resultcode.RanNo {
 				t.Errorf("ran %q, want %q: %v", got, resultcode.RanNo, err)
 			}
