placement: leave a minority of ejected targets out of the room foreseen

Cause: with three targets in ten failing, each ejected target counted as back after its next trial request, while others failed meanwhile. Change: ejected targets count only while most slots are at such targets.

--- a/placement/wait.go
+++ b/placement/wait.go
@@ -17,15 +17,16 @@
 
 // RoomFor estimates when the service has a slot for a request that is refused
 // now, if requests run for runTime on average: when the slots of its targets have
-// served those that run or wait beyond them. While most slots are at ejected
-// targets, requests wait at entry nodes instead: searching is the number of those
-// that look for a target at this node. An ejected target counts from the end of
-// its next trial request on. ok is false if no target is known.
+// served those that run or wait beyond them. Ejected targets do not count as long
+// as most slots are at healthy ones: while some return, others fail. While most
+// are ejected, each counts from the end of its next trial request on, and requests
+// wait at entry nodes: searching is the number of those that look for a target at
+// this node. ok is false if no target is known.
 func (v *View) RoomFor(service string, runTime time.Duration, searching int) (room Room, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
-	var from []slotsFrom
+	var from, ejectedFrom []slotsFrom
 	slots, ejected, ahead, running, own := 0, 0, 1, 0, 0
 	for _, h := range v.byService[service] {
 		s := &h.status
@@ -37,7 +38,7 @@
 		own += h.inFlight
 		if s.Ejected {
 			ejected += s.Slots
-			from = append(from, slotsFrom{max(0, s.TrialIn-(now-h.statusAt)) + runTime, s.Slots})
+			ejectedFrom = append(ejectedFrom, slotsFrom{max(0, s.TrialIn-(now-h.statusAt)) + runTime, s.Slots})
 			continue
 		}
 		ahead += s.Running + s.Waiting
@@ -47,6 +48,11 @@
 	if slots == 0 {
 		return Room{}, false
 	}
+	if 2*ejected > slots {
+		from = append(from, ejectedFrom...)
+	} else {
+		slots -= ejected
+	}
 	share := max(float64(own)/float64(max(1, running)), 1/float64(max(1, len(v.hosts))))
 	room.Gap = time.Duration(float64(runTime) / (min(1, share) * float64(slots)))
 	if 2*ejected > slots {
