admission: rank targets without rejections at no cost

Cause: ranking computed an exponential for each host, although most targets reject nothing.

Change: a share of 0 is returned as it is.

--- a/admission/acceptance.go
+++ b/admission/acceptance.go
@@ -23,6 +23,9 @@
 // share and got nothing for some time. It falls to 0, so that the target gets
 // requests again which show whether it still rejects them.
 func RejectsAfter(share float64, untested time.Duration) float64 {
+	if share == 0 {
+		return 0 // the usual case, in which ranking needs no exponential
+	}
 	return share * math.Exp(-float64(max(0, untested))/float64(untestedMemory))
 }
 
