--- a/admission/acceptance.go
+++ b/admission/acceptance.go
@@ -17,12 +17,15 @@
 // untestedMemory is the time constant with which the share of rejections falls
 // while the target gets nothing. It exceeds rejectionMemory: a target that sheds
 // for some seconds is tried about once in each of them.
-const untestedMemory = 2 * time.Second
+const untestedMemory = 3 * time.Second
 
 // RejectsAfter returns the share of rejections of a target that had the given
 // share and got nothing for some time. It falls to 0, so that the target gets
 // requests again which show whether it still rejects them.
 func RejectsAfter(share float64, untested time.Duration) float64 {
+	if share == 0 {
+		return 0 // the usual case, in which ranking needs no exponential
+	}
 	return share * math.Exp(-float64(max(0, untested))/float64(untestedMemory))
 }
 
