testutil: FreeAddr returns ports that nothing else can take

FreeAddr asked the system for any port of the process's loopback address and closed the listener. Until the test opened its own listener there, the probe of a later call (or another listener with port 0) could be given the same port. Processes whose IDs differ by 128 also shared an address. Change: ports come from a counter below the range of the system's own choices, each address is probed once, and the address holds all bits of a process ID.

--- a/internal/testutil/testutil.go
+++ b/internal/testutil/testutil.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -12,32 +13,47 @@
 
 // loopback is a loopback address derived from the process ID, so that test
 // binaries of different packages that run in parallel do not compete for ports.
-var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, 1+os.Getpid()&0x7f)
+// It holds all 22 bits of a process ID: with fewer, binaries that run at the same
+// time could share it.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 
-// allocated holds the addresses that FreeAddr has returned. The system may
-// choose the same port again until the test has opened its listener.
-var allocated sync.Map
+// Ports that FreeAddr returns. They are below the range from which systems
+// choose ports themselves (from 32768 on Linux), so that no listener with port 0
+// can take one before the test has opened its own.
+const (
+	firstPort = 10000
+	lastPort  = 32767
+)
+
+var (
+	mu       sync.Mutex
+	nextPort = firstPort // guarded by mu
+)
 
-// FreeAddr returns an IP:port that is free for TCP and UDP. It returns each
-// address at most once per process.
+// FreeAddr returns an IP:port that is free for TCP and UDP. Within a process it
+// returns and probes each address at most once: a second probe could take the
+// port in the moment in which a test opens its listener there.
 func FreeAddr(t testing.TB) string {
 	t.Helper()
-	for {
-		l, err := net.Listen("tcp4", net.JoinHostPort(loopback, "0"))
+	mu.Lock()
+	defer mu.Unlock()
+	for ; nextPort <= lastPort; nextPort++ {
+		addr := net.JoinHostPort(loopback, strconv.Itoa(nextPort))
+		l, err := net.Listen("tcp4", addr)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		addr := l.Addr().String()
 		c, err := net.ListenPacket("udp4", addr)
 		l.Close()
 		if err != nil {
 			continue
 		}
 		c.Close()
-		if _, taken := allocated.LoadOrStore(addr, true); !taken {
-			return addr
-		}
+		nextPort++
+		return addr
 	}
+	t.Fatalf("all ports of %s have been returned", loopback)
+	return ""
 }
 
 const eventuallyTimeout = 15 * time.Second
