mesh: nodes of two versions decode each other's messages

Cause: a message whose struct had one field more than the receiver knew was an error, so during a rolling update old nodes ignored new ones; only a status with exactly one field less was accepted. Change: statuses, reservations and heartbeats decode with fewer and with more fields. New fields are appended only; a missing one is zero, an unknown one is ignored. This holds from this version on: versions before it still reject more fields than they know.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -27,27 +27,13 @@
 	// RetryCalls is in tenths.
 	RetryCalls int64
 	Wait       int64
-	Rejects    int64 // in thousandths; earlier versions end before it
+	Rejects    int64 // in thousandths
 }
 
-// UnmarshalCBOR decodes a status, also one of an earlier version without the last
-// field, which is then zero.
+// UnmarshalCBOR decodes a status of this or another version, see decodeArray.
 func (w *wireStatus) UnmarshalCBOR(b []byte) error {
 	type plain wireStatus
-	const earlierFields = 12
-	err := cbor.Unmarshal(b, (*plain)(w))
-	if err == nil {
-		return nil
-	}
-	var fields []cbor.RawMessage
-	if cbor.Unmarshal(b, &fields) != nil || len(fields) != earlierFields {
-		return err
-	}
-	const zero = 0 // the CBOR encoding of the integer
-	if b, err = cbor.Marshal(append(fields, cbor.RawMessage{zero})); err != nil {
-		return err
-	}
-	return cbor.Unmarshal(b, (*plain)(w))
+	return decodeArray(b, (*plain)(w))
 }
 
 // Bits of wireStatus.Flags.
@@ -80,6 +66,13 @@
 	Weight        int64 // in thousandths
 }
 
+// UnmarshalCBOR decodes a reservation of this or another version, see
+// decodeArray.
+func (w *wireReservation) UnmarshalCBOR(b []byte) error {
+	type plain wireReservation
+	return decodeArray(b, (*plain)(w))
+}
+
 // Bits of wireReservation.Flags.
 const (
 	flagIdempotent = 1 << iota
@@ -111,6 +104,12 @@
 	FleetSize  int // nodes that the sender knows, with itself and silent ones
 }
 
+// UnmarshalCBOR decodes a heartbeat of this or another version, see decodeArray.
+func (m *heartbeat) UnmarshalCBOR(b []byte) error {
+	type plain heartbeat
+	return decodeArray(b, (*plain)(m))
+}
+
 // Bits of heartbeat.Flags.
 const (
 	flagHello        = 1 << iota // asks the receiver to send its own state
@@ -179,6 +178,38 @@
 	}
 }
 
+// minArrayFields is the number of fields that each wire type above had in its
+// first version or more.
+const minArrayFields = 9
+
+// decodeArray decodes a CBOR array into a struct whose fields are array elements.
+// While nodes are replaced by those of another version, both must understand
+// each other: new fields are appended only, a missing one is zero and an unknown
+// one is ignored.
+func decodeArray[T any](b []byte, v *T) error {
+	err := cbor.Unmarshal(b, v)
+	if err == nil {
+		return nil
+	}
+	var got, want []cbor.RawMessage
+	if cbor.Unmarshal(b, &got) != nil || len(got) < minArrayFields {
+		return err
+	}
+	var zero T
+	template, err := cbor.Marshal(zero)
+	if err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(template, &want); err != nil {
+		return err
+	}
+	copy(want, got)
+	if b, err = cbor.Marshal(want); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, v)
+}
+
 func toThousandths(fraction float64) int64 { return int64(math.Round(fraction * 1000)) }
 
 // encodeField encodes v for a header field.
