mesh: answer before a body has ended; keep a reservation whose request arrives

Cause: TestFailedBodyFreesTarget failed beside load ("the order begins", 15 s). A dump of the goroutines showed two faults. A reservation lasts 400 ms, and up to 1 MiB of the body is read after it was found valid and before it is used, so a body that takes longer between two nodes was always refused (1 MiB takes 645 ms at 13 Mbit/s). And the refusal did not reach the caller: net/http holds an answer back until it has read up to 256 KiB of a body that has not ended, here until the deadline, on both nodes. Change: a reservation does not expire once its request has begun to arrive; the body is bounded by the deadline of the request. Requests with a body are served with concurrent reading and writing, so an early response or a refusal goes out at once. Result: TestAnswerBeforeEndOfBody failed in all three cases and TestBodyCrossesSlowLink in its one before; both pass, the first 20 times with the race detector.

--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -34,6 +34,7 @@
 
 	mu    sync.Mutex
 	state reservationState
+	kept  bool // does not expire
 }
 
 type reservationState uint8
@@ -51,10 +52,7 @@
 // None if the request may start, and otherwise the reason of refusal: the
 // reservation has expired, or the target was replaced or began to drain.
 func (r *Reservation) Claim() Reason {
-	// The timers of a process that was paused fire late, so check the time too.
-	if r.gate.now()-r.start >= reservationTTL {
-		r.expire()
-	}
+	r.expireIfDue()
 	if !r.transition(reserved, claimed) {
 		return Expired
 	}
@@ -94,8 +92,33 @@
 	return true
 }
 
+// Keep keeps the reservation from expiring, since its request has begun to arrive
+// and a large one takes long over a slow link. The caller must claim or release
+// it. Keep reports false if the reservation has expired.
+func (r *Reservation) Keep() bool {
+	r.expireIfDue()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = r.state == reserved
+	return r.kept
+}
+
+// expireIfDue expires the reservation after its time. The timers of a process that
+// was paused fire late.
+func (r *Reservation) expireIfDue() {
+	if r.gate.now()-r.start >= reservationTTL {
+		r.expire()
+	}
+}
+
 func (r *Reservation) expire() {
-	if r.transition(reserved, released) {
+	r.mu.Lock()
+	expired := r.state == reserved && !r.kept
+	if expired {
+		r.state = released
+	}
+	r.mu.Unlock()
+	if expired {
 		r.gate.release(r, Neutral)
 	}
 }
--- /dev/null
+++ b/mesh/earlyanswer_test.go
@@ -0,0 +1,99 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hyssopbridge/admission"
+)
+
+// expiringReserver reserves slots at other nodes whose reservations expire before
+// they are used.
+type expiringReserver struct {
+	reserver
+	host *hostNode
+}
+
+func (r expiringReserver) reserve(ctx context.Context, addr string, req admission.Request) (reservation, error) {
+	reserved, err := r.reserver.reserve(ctx, addr, req)
+	if remote, ok := reserved.(*remoteReservation); ok {
+		r.host.forget(remote.reservationID)
+	}
+	return reserved, err
+}
+
+// Guards against a final answer that the entry node or the host node holds back
+// until the caller has sent the rest of its body, or until the deadline: an early
+// response of the target, or a refusal after the reservation expired on the way.
+func TestAnswerBeforeEndOfBody(t *testing.T) {
+	for _, path := range orderPaths {
+		for _, expires := range []bool{false, true} {
+			if expires && path == orderPaths[0] {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, reservation expires %v", path, expires), func(t *testing.T) {
+				t.Parallel()
+				orders := startHeadTarget(t, func(c *net.TCPConn, br *bufio.Reader, r *http.Request) {
+					respondOK(c, r)
+					_, _ = io.Copy(io.Discard, br)
+				})
+				entry, host := startPath(t, path, orders.addr)
+				for _, n := range []*Node{entry, host} {
+					_ = n.SetConfig([]byte("2 60000"), "test") // the deadline is later than the end of the test
+				}
+				want := http.StatusOK
+				if expires {
+					entry.entryNode.dispatcher.remote = expiringReserver{entry.entryNode.dispatcher.remote, host.hostNode}
+					want = http.StatusServiceUnavailable
+				}
+				c := dialCaller(t, entry)
+				sent := strings.Repeat("b", maxBuffered+100<<10)
+				go func() {
+					_, _ = io.WriteString(c, orderHead("x", fmt.Sprint("Content-Length: ", len(sent)+1))+"\r\n"+sent)
+				}()
+				_ = c.SetReadDeadline(time.Now().Add(waitLimit))
+				r, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil || r.StatusCode != want {
+					t.Errorf("response %+v, error %v; want status %d before the body ends", r, err, want)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the refusal of every request whose body takes longer to cross a
+// slow link between two nodes than a reservation lasts without its request.
+func TestBodyCrossesSlowLink(t *testing.T) {
+	g := startTarget(t, "t")
+	host := startNode(t, g)
+	_ = host.SetConfig([]byte("1"), "test")
+	var answer string
+	// A busy machine may take longer to send the head than the reservation lasts.
+	for range 10 {
+		c, err := net.Dial("tcp4", host.cfg.NodeAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		id := host.hostNode.store(reserveFor(t, host, "t"))
+		fmt.Fprint(c, orderHead("x", headerReservation+": "+id, headerTimeLeft+": 5000", "Content-Length: 2")+"\r\na")
+		time.Sleep(600 * time.Millisecond) // reservations expire after 400 ms
+		fmt.Fprint(c, "b")
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := io.ReadAll(r.Body)
+		if answer = fmt.Sprint(r.StatusCode, " ", string(b)); r.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Errorf("%s, want status 200", answer)
+}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -284,6 +284,9 @@
 		// The request that used it may have been a copy of this one.
 		return nil, resultcode.New(resultcode.UnknownOutcome, "reservation has been used")
 	}
+	if !held.reservation.Keep() {
+		return nil, notRun(resultcode.TargetDraining, "reservation has expired")
+	}
 	left, ok := getMillis(r.Header, headerTimeLeft)
 	if !ok || left <= 0 {
 		held.reservation.Release(admission.Neutral)
--- a/mesh/memory.go
+++ b/mesh/memory.go
@@ -297,13 +297,16 @@
 	return n, err
 }
 
-// boundUnreadBody bounds the time for which a body is read until its reader sets
-// a deadline of its own. Without it, net/http reads on without end if the request
-// is answered before its body has ended.
+// boundUnreadBody prepares for an answer that is written before the request's body
+// has ended. net/http would otherwise hold the answer back until it has read up to
+// 256 KiB of the rest, and read on without end. The time limit applies until the
+// body's reader sets a deadline of its own.
 func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
 	if r.Body != nil && r.Body != http.NoBody {
+		control := http.NewResponseController(w)
 		// The connection is closed if this fails.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		_ = control.EnableFullDuplex() // an answer may be held back if this fails
 	}
 }
 
