--- a/mesh/brokenrequest_test.go
+++ b/mesh/brokenrequest_test.go
@@ -87,16 +87,6 @@
 	respondOK(c, r)
 }
 
-func dialCaller(t *testing.T, n *Node) *net.TCPConn {
-	t.Helper()
-	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c.(*net.TCPConn)
-}
-
 // checkPromises checks that no order began, now or a little later, whose
 // response promises that it is not run.
 func (g *headTarget) checkPromises(t *testing.T, statuses []int) {
@@ -140,9 +130,7 @@
 			t.Parallel()
 			g := startHeadTarget(t, readWholeOrder)
 			entry := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, func(c *Config) { c.Decode = decodeShortHeaderTimeout })
-			if err := entry.SetConfig([]byte("1"), "test"); err != nil {
-				t.Fatal(err)
-			}
+			setConfig(t, "1", entry)
 			markTested(t, entry, "first")
 			c := dialCaller(t, entry)
 			_, _ = io.WriteString(c, test.first)
@@ -295,9 +283,7 @@
 						entry = startNodeWith(t, nil, decodeWithBodyLimit(limit))
 						connectNodes(t, entry, host)
 					}
-					for _, n := range []*Node{entry, host} {
-						_ = n.SetConfig([]byte("1 60000"), "test") // the deadline is later than the end of the test
-					}
+					setConfig(t, "1 60000", entry, host) // the deadline is later than the end of the test
 					markTested(t, entry, "first")
 					c := dialCaller(t, entry)
 					_, _ = io.WriteString(c, orderHead("x", "Transfer-Encoding: chunked")+"\r\n"+strings.Repeat(chunk, maxBuffered/(64<<10)+1))
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -21,9 +21,7 @@
 func TestConfigFromPeers(t *testing.T) {
 	a, b, c := startNode(t, nil), startNode(t, nil), startNode(t, nil)
 	connectNodes(t, a, b, c)
-	if err := a.SetConfig([]byte("5"), "test"); err != nil {
-		t.Fatal(err)
-	}
+	setConfig(t, "5", a)
 	for _, n := range []*Node{b, c} {
 		testutil.Eventually(t, "version 5 is in force", func() bool { return n.Config() != nil && n.Config().Version == 5 })
 	}
@@ -83,7 +81,7 @@
 	}
 	connectNodes(t, nodes...)
 	for _, n := range nodes {
-		_ = n.SetConfig([]byte("1"), "test")
+		setConfig(t, "1", n)
 		n.SetConfigReader(true)
 		n.peers.announce(allZones)
 	}
@@ -168,13 +166,9 @@
 	source := startNodeIn(t, "z0", nil)
 	a, b := startNodeIn(t, "z1", nil), startNodeIn(t, "z1", nil)
 	connectNodes(t, source, a, b)
-	for _, n := range []*Node{source, a, b} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	setConfig(t, "1", source, a, b)
 	source.SetConfigReader(true)
-	if err := source.SetConfig([]byte("2"), "test"); err != nil {
-		t.Fatal(err)
-	}
+	setConfig(t, "2", source)
 	testutil.Eventually(t, "the other zone has version 2", func() bool {
 		return a.Config().Version == 2 && b.Config().Version == 2
 	})
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -6,8 +6,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,13 +56,6 @@
 	return startNodeWith(t, g, func(c *Config) { c.Decode = decodeCustomers })
 }
 
-func setCustomers(t *testing.T, n *Node, raw string) {
-	t.Helper()
-	if err := n.SetConfig([]byte(raw), "test"); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // Guards against a key that reaches a target or the log, a customer's name that
 // the caller chose, and a key that still works once a version has withdrawn it,
 // also on a connection that was in use before.
@@ -79,12 +72,8 @@
 	n := startNodeWith(t, g, func(c *Config) {
 		c.Decode, c.Log = decodeCustomers, &log.Logger{Handler: text.New(&logged), Level: log.InfoLevel}
 	})
-	setCustomers(t, n, "1 0 secret")
-	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	setConfig(t, "1 0 secret", n)
+	c := dialCaller(t, n)
 	br := bufio.NewReader(c)
 	request := func(path, key string) int {
 		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: %s\r\nX-Customer: forged\r\n\r\n", path, key)
@@ -109,7 +98,7 @@
 	expect("public route, known key", request("/public/1", "secret"), 200, "c")
 	expect("unknown key", request("/read/1", "guess"), 401, "")
 	expect("no key", request("/read/1", ""), 401, "")
-	setCustomers(t, n, "2 0 another")
+	setConfig(t, "2 0 another", n)
 	expect("withdrawn key", request("/read/1", "secret"), 401, "")
 	expect("new key", request("/read/1", "another"), 200, "c")
 	for _, s := range []string{"secret", "guess", "another"} {
@@ -137,94 +126,72 @@
 	return l.b.String()
 }
 
-// Guards against a request that runs with a key that was withdrawn while the
-// request waited for a slot.
-func TestKeyWithdrawnInQueue(t *testing.T) {
-	g := startTarget(t, "t")
-	release := make(chan struct{})
-	g.setHandler(func(w io.Writer, r *http.Request) bool {
-		<-release
-		return respondOK(w, r)
-	})
-	n := startCustomerNode(t, g)
-	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
-	setCustomers(t, n, "1 0 secret")
-	var wait sync.WaitGroup
-	defer wait.Wait()
-	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
-	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
-	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "waiting", "X-Key", "secret"), 401, "") })
-	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
-	setCustomers(t, n, "2 0 another")
-	close(release)
-	wait.Wait()
-	if g.runCount("waiting") != 0 {
-		t.Error("a request ran with a withdrawn key")
-	}
-}
-
-// Guards against status 401 for a request of a public route whose key is
-// withdrawn while it waits: it runs without a customer, like one that arrives
-// with that key now.
-func TestKeyWithdrawnOnPublicRoute(t *testing.T) {
-	g := startTarget(t, "t")
-	release := make(chan struct{})
-	var customers sync.Map
-	g.setHandler(func(w io.Writer, r *http.Request) bool {
-		<-release
-		customers.Store(r.Header.Get("X-Id"), r.Header.Get("X-Customer"))
-		return respondOK(w, r)
+// startSuspendableNode starts a node whose configurations decodeCustomers reads
+// and whose clock is ahead by the returned time, as after a suspension.
+func startSuspendableNode(t *testing.T, g *stubTarget) (n *Node, suspended *atomic.Int64) {
+	t.Helper()
+	suspended = &atomic.Int64{}
+	n = startNodeWith(t, g, func(c *Config) {
+		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
 	})
-	n := startCustomerNode(t, g)
-	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
-	setCustomers(t, n, "1 0 secret")
-	var wait sync.WaitGroup
-	defer wait.Wait()
-	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
-	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
-	wait.Go(func() { wantResponse(t, send(t, n, "/public/1", "waiting", "X-Key", "secret"), 200, "") })
-	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
-	setCustomers(t, n, "2 0 another")
-	close(release)
-	wait.Wait()
-	if name, ran := customers.Load("waiting"); !ran || name != "" {
-		t.Errorf("ran %v with customer %q, want no customer", ran, name)
-	}
+	return n, suspended
 }
 
-// Guards against a request that waited during a suspension and then runs by the
-// version from before it, which has lost the request's key meanwhile.
-func TestKeyWithdrawnInQueueDuringSuspension(t *testing.T) {
-	var suspended atomic.Int64
-	g := startTarget(t, "t")
-	release := make(chan struct{})
-	g.setHandler(func(w io.Writer, r *http.Request) bool {
-		<-release
-		return respondOK(w, r)
-	})
-	n := startNodeWith(t, g, func(c *Config) {
-		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
-	})
-	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
-	other := startCustomerNode(t, nil)
-	connectNodes(t, n, other)
-	setCustomers(t, n, "1 0 secret")
-	var wait sync.WaitGroup
-	defer wait.Wait()
-	wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
-	testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
-	wait.Go(func() {
-		if got := send(t, n, "/read/1", "waiting", "X-Key", "secret"); got.status != 503 && got.status != 401 {
-			t.Errorf("status %d for a request that waited during a suspension, want 503 or 401", got.status)
-		}
-	})
-	testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
-	suspended.Store(int64(suspensionGap + 500*time.Millisecond))
-	setCustomers(t, other, "2 0 another")
-	close(release)
-	wait.Wait()
-	if g.runCount("waiting") != 0 {
-		t.Error("a request ran with a withdrawn key")
+// Guards against a request that runs with a key that was withdrawn while the
+// request waited for a slot, by the version from before a suspension as well, and
+// against status 401 on a public route, where the request runs without a
+// customer, like one that arrives with that key now.
+func TestKeyWithdrawnInQueue(t *testing.T) {
+	for name, test := range map[string]struct {
+		path      string
+		suspended bool
+		statuses  []int // that the waiting request may get
+		runs      bool
+	}{
+		"route with keys":     {"/read/1", false, []int{401}, false},
+		"public route":        {"/public/1", false, []int{200}, true},
+		"during a suspension": {"/read/1", true, []int{503, 401}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startTarget(t, "t")
+			release := make(chan struct{})
+			var customers sync.Map // by request ID
+			g.setHandler(func(w io.Writer, r *http.Request) bool {
+				<-release
+				customers.Store(r.Header.Get("X-Id"), r.Header.Get("X-Customer"))
+				return respondOK(w, r)
+			})
+			n, suspended := startSuspendableNode(t, g)
+			n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 1, Phase: admission.Serving}, g.addr, false)
+			withdraws := n
+			if test.suspended {
+				withdraws = startCustomerNode(t, nil)
+				connectNodes(t, n, withdraws)
+			}
+			setConfig(t, "1 0 secret", n)
+			var wait sync.WaitGroup
+			defer wait.Wait()
+			wait.Go(func() { wantResponse(t, send(t, n, "/read/1", "first", "X-Key", "secret"), 200, "") })
+			testutil.Eventually(t, "the slot is in use", func() bool { return g.runCount("first") == 1 })
+			wait.Go(func() {
+				if got := send(t, n, test.path, "waiting", "X-Key", "secret"); !slices.Contains(test.statuses, got.status) || got.err != nil {
+					t.Errorf("status %d, error %v for the request that waited, want one of %d", got.status, got.err, test.statuses)
+				}
+			})
+			testutil.Eventually(t, "a request waits", func() bool { return n.gate.Status().Waiting == 1 })
+			if test.suspended {
+				suspended.Store(int64(suspensionGap + 500*time.Millisecond))
+			}
+			setConfig(t, "2 0 another", withdraws)
+			close(release)
+			wait.Wait()
+			if ran := g.runCount("waiting") != 0; ran != test.runs {
+				t.Errorf("the request that waited ran: %v, want %v", ran, test.runs)
+			}
+			if name, ran := customers.Load("waiting"); ran && name != "" {
+				t.Errorf("ran with customer %q, want no customer", name)
+			}
+		})
 	}
 }
 
@@ -235,7 +202,7 @@
 	nodes := []*Node{startCustomerNode(t, targets[0]), startCustomerNode(t, targets[1])}
 	connectNodes(t, nodes...)
 	for i, n := range nodes {
-		setCustomers(t, n, "1 0 secret")
+		setConfig(t, "1 0 secret", n)
 		wantResponse(t, send(t, nodes[i], "/read/1", "warm", "X-Key", "secret"), 200, "")
 	}
 	var arrivals atomic.Int64
@@ -262,8 +229,8 @@
 func TestSuspendedNodeDoesNotConfirm(t *testing.T) {
 	n, other := startCustomerNode(t, nil), startCustomerNode(t, nil)
 	connectNodes(t, n, other)
-	setCustomers(t, n, "1 0 secret")
-	setCustomers(t, other, "1 0 secret")
+	setConfig(t, "1 0 secret", n)
+	setConfig(t, "1 0 secret", other)
 	if err := n.confirmVersion(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -278,7 +245,7 @@
 	n := startCustomerNode(t, startTarget(t, "t"))
 	// The announcing node below has no process that could be asked.
 	n.entryNode.versions = &versionCheck{ask: func(context.Context) error { return nil }}
-	setCustomers(t, n, "1 0 secret")
+	setConfig(t, "1 0 secret", n)
 	announce := func(version int64) {
 		n.peers.mu.Lock()
 		defer n.peers.mu.Unlock()
@@ -294,22 +261,18 @@
 // Guards against a node that serves by an old version after a suspension, during
 // which a key was withdrawn.
 func TestKeyWithdrawnDuringSuspension(t *testing.T) {
-	var suspended atomic.Int64
-	g := startTarget(t, "t")
-	n := startNodeWith(t, g, func(c *Config) {
-		c.Decode, c.Clock = decodeCustomers, func() time.Duration { return clock.SinceBoot() + time.Duration(suspended.Load()) }
-	})
-	setCustomers(t, n, "1 0 secret")
+	n, suspended := startSuspendableNode(t, startTarget(t, "t"))
+	setConfig(t, "1 0 secret", n)
 	other := startCustomerNode(t, nil)
 	connectNodes(t, n, other)
-	setCustomers(t, other, "1 0 secret")
+	setConfig(t, "1 0 secret", other)
 	wantResponse(t, send(t, n, "/read/1", "1", "X-Key", "secret"), 200, "")
 
 	// Datagrams are lost, so that only the confirmation can bring the version.
 	other.peers.mu.Lock()
 	clear(other.peers.byAddr)
 	other.peers.mu.Unlock()
-	setCustomers(t, other, "2 0 another")
+	setConfig(t, "2 0 another", other)
 	suspended.Store(int64(10 * time.Second))
 	if got := send(t, n, "/read/1", "2", "X-Key", "secret"); got.status != 503 && got.status != 401 {
 		t.Errorf("status %d right after a suspension, want 503 or 401", got.status)
@@ -326,13 +289,12 @@
 	const perSecond = 20
 	var nodes []*Node
 	for range 3 {
-		n := startCustomerNode(t, startTarget(t, "t"))
-		nodes = append(nodes, n)
+		nodes = append(nodes, startCustomerNode(t, startTarget(t, "t")))
 	}
 	connectNodes(t, nodes...)
 	for _, n := range nodes {
 		n.SetQuotaPolicy(QuotaPolicy{Window: 5 * time.Second})
-		setCustomers(t, n, fmt.Sprint("1 ", perSecond, " secret"))
+		setConfig(t, fmt.Sprint("1 ", perSecond, " secret"), n)
 		testutil.Eventually(t, "the node may own quotas", n.quotas.core.Ready)
 	}
 	wantResponse(t, send(t, nodes[0], "/public/1", "public"), 200, "")
--- a/mesh/eventlog_test.go
+++ b/mesh/eventlog_test.go
@@ -17,7 +17,7 @@
 	ng := startNode(t, good)
 	connectNodes(t, nb, ng)
 	for _, n := range []*Node{nb, ng} {
-		_ = n.SetConfig([]byte("1"), "test")
+		setConfig(t, "1", n)
 		n.SetRetryPolicy(RetryPolicy{})
 	}
 	bad.setHandler(resetConnection)
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -69,12 +69,26 @@
 func startTarget(t *testing.T, id string) *stubTarget { return startTargetAt(t, id, "127.0.0.1:0") }
 
 func startTargetAt(t *testing.T, id, addr string) *stubTarget {
+	t.Helper()
+	g := &stubTarget{id: id, runs: map[string]int{}, abandoned: make(chan string, 100), handler: respondOK}
+	g.listener = listen(t, addr, func(c net.Conn) {
+		g.mu.Lock()
+		g.conns = append(g.conns, c)
+		g.mu.Unlock()
+		go g.serve(c)
+	})
+	g.addr = g.listener.Addr().String()
+	return g
+}
+
+// listen opens a listener until the end of the test and passes its connections
+// to accepted.
+func listen(t testing.TB, addr string, accepted func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &stubTarget{id: id, addr: l.Addr().String(), runs: map[string]int{}, abandoned: make(chan string, 100), handler: respondOK, listener: l}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -82,13 +96,15 @@
 			if err != nil {
 				return
 			}
-			g.mu.Lock()
-			g.conns = append(g.conns, c)
-			g.mu.Unlock()
-			go g.serve(c)
+			accepted(c)
 		}
 	}()
-	return g
+	return l
+}
+
+// servingTarget returns the state of a target that serves.
+func servingTarget(id string) admission.Target {
+	return admission.Target{ID: id, Service: testService, Slots: 4, Phase: admission.Serving}
 }
 
 // close ends the target with its connections, as the end of its process does.
@@ -186,11 +202,31 @@
 	n.SetRetryPolicy(RetryPolicy{Ratio: 1, Slack: 1e6}) // no limit in practice
 	n.SetService("caller-service")
 	if g != nil {
-		n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 4, Phase: admission.Serving}, g.addr, false)
+		n.SetTarget(servingTarget(g.id), g.addr, false)
 	}
 	return n
 }
 
+// startPair starts two nodes that know each other, with the given targets or nil,
+// and puts a configuration in force on both.
+func startPair(t *testing.T, config string, first, second *stubTarget) (*Node, *Node) {
+	t.Helper()
+	a, b := startNode(t, first), startNode(t, second)
+	connectNodes(t, a, b)
+	setConfig(t, config, a, b)
+	return a, b
+}
+
+// setConfig puts a configuration in force on nodes.
+func setConfig(t testing.TB, config string, nodes ...*Node) {
+	t.Helper()
+	for _, n := range nodes {
+		if err := n.SetConfig([]byte(config), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func connectNodes(t *testing.T, nodes ...*Node) {
 	t.Helper()
 	for _, a := range nodes {
@@ -225,10 +261,20 @@
 // send makes a caller's request to the node.
 func send(t *testing.T, n *Node, path, id string, fields ...string) callerResponse {
 	t.Helper()
-	method := http.MethodGet
 	var body io.Reader
 	if strings.HasPrefix(path, "/order") {
-		method, body = http.MethodPost, strings.NewReader("payload")
+		body = strings.NewReader("payload")
+	}
+	return do(newCallerRequest(t, n, path, id, body, fields...))
+}
+
+// newCallerRequest returns a request of a caller of the node: a POST, or a GET
+// if body is nil.
+func newCallerRequest(t *testing.T, n *Node, path, id string, body io.Reader, fields ...string) *http.Request {
+	t.Helper()
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
 	}
 	req, err := http.NewRequest(method, "http://"+n.cfg.CallerAddr+path, body)
 	if err != nil {
@@ -239,6 +285,11 @@
 	for i := 0; i+1 < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
 	}
+	return req
+}
+
+// do makes a request over a connection of its own.
+func do(req *http.Request) callerResponse {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	httpResp, err := client.Do(req)
 	if err != nil {
@@ -249,6 +300,17 @@
 	return callerResponse{httpResp.StatusCode, httpResp.Header, string(b), err}
 }
 
+// dialCaller opens a caller's connection to the node until the end of the test.
+func dialCaller(t *testing.T, n *Node) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
 func wantResponse(t *testing.T, got callerResponse, status int, body string) {
 	t.Helper()
 	if got.status != status || got.err != nil || (body != "" && got.body != body) {
--- a/mesh/head_test.go
+++ b/mesh/head_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,11 +14,7 @@
 // Content-Length, and against a connection that is out of step afterwards.
 func TestHead(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	host, entry := startPair(t, "1", g, nil)
 	for length, field := range map[int]string{5: "Content-Length: 5\r\n", 3 * maxBuffered: fmt.Sprintf("Content-Length: %d\r\n", 3*maxBuffered), 0: "Content-Length: 0\r\n", -1: "Transfer-Encoding: chunked\r\n", -2: ""} {
 		g.setHandler(func(w io.Writer, r *http.Request) bool {
 			if r.Method != http.MethodHead {
@@ -29,10 +24,7 @@
 			return true
 		})
 		for name, n := range map[string]*Node{"at the host node": host, "through another node": entry} {
-			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
+			c := dialCaller(t, n)
 			_ = c.SetDeadline(time.Now().Add(waitLimit))
 			br := bufio.NewReader(c)
 			for _, method := range []string{http.MethodHead, http.MethodGet, http.MethodHead} {
--- a/mesh/hedge_test.go
+++ b/mesh/hedge_test.go
@@ -25,9 +25,7 @@
 	bad, good = startTarget(t, "silent"), startTarget(t, "good")
 	ns, ng = startNode(t, bad), startNode(t, good)
 	connectNodes(t, ns, ng)
-	for _, n := range []*Node{ns, ng} {
-		_ = n.SetConfig([]byte("1 4000"), "test")
-	}
+	setConfig(t, "1 4000", ns, ng)
 	hold := make(chan struct{})
 	t.Cleanup(func() { close(hold) })
 	bad.setHandler(neverRespond(hold))
--- a/mesh/lastresort_test.go
+++ b/mesh/lastresort_test.go
@@ -14,10 +14,8 @@
 // be unknown.
 func TestEjectedTargetIsLastResort(t *testing.T) {
 	ejected, full := startTarget(t, "ejected"), startTarget(t, "full")
-	ng, nf := startNode(t, ejected), startNode(t, full)
-	connectNodes(t, ng, nf)
+	ng, nf := startPair(t, "1 1000", ejected, full)
 	for _, n := range []*Node{ng, nf} {
-		_ = n.SetConfig([]byte("1 1000"), "test")
 		n.SetRetryPolicy(RetryPolicy{}) // without retry budget no read may be a trial request
 	}
 	reserve := func(n *Node) *admission.Reservation {
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -58,31 +57,14 @@
 // sendOrder sends an order with a body of the given size.
 func sendOrder(t *testing.T, n *Node, id string, size int) callerResponse {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddr+"/order/1", strings.NewReader(strings.Repeat("q", size)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Id", id)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	httpResp, err := client.Do(req)
-	if err != nil {
-		return callerResponse{err: err}
-	}
-	defer httpResp.Body.Close()
-	b, err := io.ReadAll(httpResp.Body)
-	return callerResponse{httpResp.StatusCode, httpResp.Header, string(b), err}
+	return do(newCallerRequest(t, n, "/order/1", id, strings.NewReader(strings.Repeat("q", size))))
 }
 
 // Guards against memory that is never given back, which would shrink the budget
 // until every larger body is refused.
 func TestMemoryIsGivenBack(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1 600"), "test")
-	}
+	host, entry := startPair(t, "1 600", g, nil)
 	markTested(t, host, "first")
 	large := strings.Repeat("b", 300<<10)
 	handlers := map[string]func(w io.Writer, r *http.Request) bool{
@@ -108,10 +90,7 @@
 			_ = send(t, n, "/read/1", fmt.Sprint(name, " read ", i))
 			_ = sendOrder(t, n, fmt.Sprint(name, " order ", i), 200<<10)
 			_ = sendOrder(t, n, fmt.Sprint(name, " long order ", i), longBody)
-			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
+			c := dialCaller(t, n)
 			fmt.Fprintf(c, "GET /file/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: %s left %d\r\n\r\n", name, i)
 			c.Close()
 		}
@@ -128,11 +107,7 @@
 // because its response finds no memory.
 func TestRefusedForMemoryIsNotRun(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	host, entry := startPair(t, "1", g, nil)
 	markTested(t, host, "first")
 	for name, full := range map[string]*Node{"host": host, "entry": entry} {
 		account := full.resources.memory.Open()
@@ -157,7 +132,7 @@
 func TestBytesAtTarget(t *testing.T) {
 	g := startTarget(t, "t")
 	n := startNode(t, g)
-	_ = n.SetConfig([]byte("1"), "test")
+	setConfig(t, "1", n)
 	markTested(t, n, "first")
 	n.resources.atTarget = limits.NewMemory(100<<10, n.resources.now, nil)
 	wantResponse(t, sendOrder(t, n, "alone", 200<<10), http.StatusOK, "")
@@ -188,7 +163,7 @@
 func TestBytesAtTargetOfStreams(t *testing.T) {
 	g := startTarget(t, "t")
 	n := startNode(t, g)
-	_ = n.SetConfig([]byte("1"), "test")
+	setConfig(t, "1", n)
 	markTested(t, n, "first")
 	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
 	for name, body := range map[string]string{
@@ -203,11 +178,7 @@
 			}
 			return respondOK(w, r)
 		})
-		c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
+		c := dialCaller(t, n)
 		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\n%s", name, body)
 		<-began
 		wantResponse(t, send(t, n, "/read/1", name+" no body"), http.StatusOK, "")
@@ -229,14 +200,10 @@
 func TestSlowBodyGivesWayAtTarget(t *testing.T) {
 	g := startTarget(t, "t")
 	n := startNode(t, g)
-	_ = n.SetConfig([]byte("1 600000"), "test")
+	setConfig(t, "1 600000", n)
 	markTested(t, n, "first")
 	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
-	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dialCaller(t, n)
 	fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: slow\r\nContent-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 2<<20))
 	testutil.Eventually(t, "the slow body is in flight", func() bool { return n.resources.atTarget.Used() > 0 })
 	testutil.Eventually(t, "another body is served", func() bool { return sendOrder(t, n, "other", 200<<10).status == http.StatusOK })
@@ -247,11 +214,7 @@
 // for broken or absent.
 func TestConnectionLimitIsNoEvidence(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	host, entry := startPair(t, "1", g, nil)
 	markTested(t, host, "first")
 	failed := counterOf(host, "mesh_target_answers_total."+admission.TransportError.String())
 	host.resources.outgoing.SetLimit(0)
@@ -271,18 +234,10 @@
 // sound target count as stalled or broken.
 func TestStalledCallerIsNoEvidence(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1 1000"), "test")
-	}
+	host, entry := startPair(t, "1 1000", g, nil)
 	markTested(t, host, "first")
 	for i, n := range []*Node{host, entry, host, entry} {
-		c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
+		c := dialCaller(t, n)
 		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: stalled%d\r\nContent-Length: %d\r\n\r\n%s", i, longBody, strings.Repeat("z", 2*maxBuffered))
 		_, _ = io.ReadAll(c) // until the node gives the request up
 	}
--- a/mesh/notrun_test.go
+++ b/mesh/notrun_test.go
@@ -29,36 +29,24 @@
 
 func startHeadTarget(t *testing.T, then func(c *net.TCPConn, br *bufio.Reader, r *http.Request)) *headTarget {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	g := &headTarget{addr: l.Addr().String(), began: make(chan string, 100)}
-	go func() {
+	g := &headTarget{began: make(chan string, 100)}
+	serve := func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			r, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					if r.Method == http.MethodGet {
-						respondOK(c, r)
-						continue
-					}
-					g.began <- r.Header.Get("X-Id")
-					then(c.(*net.TCPConn), br, r)
-				}
-			}()
+			if r.Method == http.MethodGet {
+				respondOK(c, r)
+				continue
+			}
+			g.began <- r.Header.Get("X-Id")
+			then(c.(*net.TCPConn), br, r)
 		}
-	}()
+	}
+	g.addr = listen(t, "127.0.0.1:0", func(c net.Conn) { go serve(c) }).Addr().String()
 	return g
 }
 
@@ -74,13 +62,11 @@
 	if path != orderPaths[0] {
 		entry = startNode(t, nil)
 	}
-	host.SetTarget(admission.Target{ID: "t", Service: testService, Slots: 4, Phase: admission.Serving}, targetAddr, false)
+	host.SetTarget(servingTarget("t"), targetAddr, false)
 	if entry != host {
 		connectNodes(t, entry, host)
 	}
-	for _, n := range []*Node{entry, host} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	setConfig(t, "1", entry, host)
 	markTested(t, entry, "first")
 	return entry, host
 }
@@ -89,15 +75,10 @@
 // is negative. It returns the status, or 0 if there was no response.
 func sendOrderOfLength(t *testing.T, n *Node, id string, length int, left time.Duration) int {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.cfg.CallerAddr+"/order/1", bytes.NewReader(make([]byte, max(length, -length))))
-	if err != nil {
-		t.Fatal(err)
-	}
+	req := newCallerRequest(t, n, "/order/1", id, bytes.NewReader(make([]byte, max(length, -length))))
 	if length < 0 {
 		req.Body, req.ContentLength, req.GetBody = io.NopCloser(req.Body), -1, nil
 	}
-	req.Host = "h.example"
-	req.Header.Set("X-Id", id)
 	if left > 0 {
 		req.Header.Set("X-Left", fmt.Sprint(left.Milliseconds()))
 	}
@@ -306,11 +287,7 @@
 		return respondOK(w, r)
 	})
 	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
-	reserved, reason := n.hostNode.reserve(context.Background(), req, func() {})
-	if reserved == nil {
-		t.Fatal(reason)
-	}
-	id := n.hostNode.store(reserved, req)
+	id := n.hostNode.store(mustReserve(t, n, req), req)
 	const copies = 8
 	ran := make(chan string, copies)
 	for range copies {
@@ -344,6 +321,16 @@
 	testutil.Eventually(t, "the slot is free", func() bool { return n.gate.Status().Running == 0 })
 }
 
+// mustReserve reserves a slot at the node's target.
+func mustReserve(t *testing.T, n *Node, req admission.Request) *admission.Reservation {
+	t.Helper()
+	reserved, reason := n.hostNode.reserve(t.Context(), req, func() {})
+	if reserved == nil {
+		t.Fatal(reason)
+	}
+	return reserved
+}
+
 // testOrder returns an order with the given time left.
 func testOrder(n *Node, left time.Duration) *request {
 	return &request{
@@ -356,28 +343,25 @@
 // sent, or that leave that open although it was not.
 func TestNotRunBeforeSend(t *testing.T) {
 	req := admission.Request{Target: "t", Service: testService, Idempotent: true, AllowUntested: true, MaxRisk: 1}
-	reserve := func(t *testing.T, n *Node) *admission.Reservation {
-		reserved, reason := n.hostNode.reserve(t.Context(), req, func() {})
-		if reserved == nil {
-			t.Fatal(reason)
-		}
-		return reserved
-	}
-	// hop sends the head and a part of the body of a request under a reservation,
-	// and closes the connection's sending side.
-	hop := func(t *testing.T, n *Node, id, left string) string {
-		c, err := net.Dial("tcp4", n.cfg.NodeAddr)
+	reserve := func(t *testing.T, n *Node) *admission.Reservation { return mustReserve(t, n, req) }
+	// sendPart sends the head and a part of the body of an order, and closes the
+	// connection's sending side.
+	sendPart := func(t *testing.T, addr string, fields ...string) *http.Response {
+		c, err := net.Dial("tcp4", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: 100\r\n\r\npart", headerReservation, id, headerTimeLeft, left)
+		_, _ = io.WriteString(c, orderHead("x", append(fields, "Content-Length: 100")...)+"\r\npart")
 		_ = c.(*net.TCPConn).CloseWrite()
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		return resp.Header.Get(headerRan)
+		return resp
+	}
+	hop := func(t *testing.T, n *Node, id, left string) string {
+		return sendPart(t, n.cfg.NodeAddr, headerReservation+": "+id, headerTimeLeft+": "+left).Header.Get(headerRan)
 	}
 	for name, ran := range map[string]func(t *testing.T, n *Node) string{
 		"hop after the deadline": func(t *testing.T, n *Node) string {
@@ -406,22 +390,12 @@
 			return hop(t, n, n.hostNode.store(reserve(t, n), req), "1000")
 		},
 		"target does not listen": func(t *testing.T, n *Node) string {
-			n.SetTarget(admission.Target{ID: "t", Service: testService, Slots: 4, Phase: admission.Serving}, testutil.FreeAddr(t), false)
+			n.SetTarget(servingTarget("t"), testutil.FreeAddr(t), false)
 			_, err := n.hostNode.run(t.Context(), reserve(t, n), req, testOrder(n, time.Second))
 			return err.Ran.String()
 		},
 		"body cut at the entry node": func(t *testing.T, n *Node) string {
-			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			fmt.Fprint(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\nContent-Length: 100\r\n\r\npart")
-			_ = c.(*net.TCPConn).CloseWrite()
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
+			resp := sendPart(t, n.cfg.CallerAddr)
 			if resp.StatusCode != http.StatusRequestTimeout {
 				t.Errorf("status %d, want 408", resp.StatusCode)
 			}
@@ -431,7 +405,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := startTarget(t, "t")
 			n := startNode(t, g)
-			_ = n.SetConfig([]byte("1"), "test")
+			setConfig(t, "1", n)
 			if got := ran(t, n); got != resultcode.RanNo.String() {
 				t.Errorf("ran %q, want %q", got, resultcode.RanNo)
 			}
--- a/mesh/owndeadline_test.go
+++ b/mesh/owndeadline_test.go
@@ -35,12 +35,7 @@
 				}})
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.cfg.CallerAddr+"/read/1", nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				req.Host = "h.example"
-				req.Header.Set("X-Id", "x")
+				req := newCallerRequest(t, entry, "/read/1", "x", nil).WithContext(ctx)
 				if !callerLeaves {
 					req.Header.Set("X-Left", fmt.Sprint(silentDeadline.Milliseconds()))
 				}
--- a/mesh/queue_test.go
+++ b/mesh/queue_test.go
@@ -41,9 +41,7 @@
 		free[i] = holdSlots(t, hosts[i])
 	}
 	connectNodes(t, entry, hosts[0], hosts[1])
-	if err := entry.SetConfig([]byte("1"), "test"); err != nil {
-		t.Fatal(err)
-	}
+	setConfig(t, "1", entry)
 	testutil.Eventually(t, "both hosts are known", func() bool { return entry.view.Count(testService) == 2 })
 	return entry, hosts, targets, free
 }
@@ -103,12 +101,7 @@
 func TestCallerLeavesQueue(t *testing.T) {
 	entry, hosts, _, _ := startFullFleet(t)
 	ctx, leave := context.WithCancel(t.Context())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.cfg.CallerAddr+"/read/1", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Id", "r")
+	req := newCallerRequest(t, entry, "/read/1", "r", nil).WithContext(ctx)
 	transport := &http.Transport{}
 	go func() {
 		if resp, err := transport.RoundTrip(req); err == nil {
--- a/mesh/refused_test.go
+++ b/mesh/refused_test.go
@@ -72,11 +72,7 @@
 	g := &repeatingTarget{refusal: refusal, anyConnection: anyConnection, carried: map[io.Writer]map[string]bool{}, refused: map[string]bool{}, ran: map[string]int{}}
 	faulty, other := startTarget(t, "faulty"), startTarget(t, "other")
 	faulty.setHandler(g.respond)
-	nf, no := startNode(t, faulty), startNode(t, other)
-	connectNodes(t, nf, no)
-	for _, n := range []*Node{nf, no} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	nf, _ := startPair(t, "1", faulty, other)
 	reached := 0
 	for i := range 12 {
 		id := fmt.Sprint("o", i)
--- a/mesh/regression_test.go
+++ b/mesh/regression_test.go
@@ -23,11 +23,7 @@
 // arrives on the reused connection just before its response.
 func TestLateRefusalOnReusedConnection(t *testing.T) {
 	faulty, other := startTarget(t, "faulty"), startTarget(t, "other")
-	nf, no := startNode(t, faulty), startNode(t, other)
-	connectNodes(t, nf, no)
-	for _, n := range []*Node{nf, no} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	nf, _ := startPair(t, "1", faulty, other)
 	var mu sync.Mutex
 	used := map[io.Writer]bool{}
 	faulty.setHandler(func(w io.Writer, r *http.Request) bool {
@@ -117,11 +113,7 @@
 			t.Run(fmt.Sprint(kind, " ", pause), func(t *testing.T) {
 				t.Parallel()
 				faulty, good := startTarget(t, "faulty"), startTarget(t, "good")
-				nf, ng := startNode(t, faulty), startNode(t, good)
-				connectNodes(t, nf, ng)
-				for _, n := range []*Node{nf, ng} {
-					_ = n.SetConfig([]byte("1 4000"), "test")
-				}
+				nf, _ := startPair(t, "1 4000", faulty, good)
 				closed := make(chan struct{}, 100)
 				faulty.setHandler(respondEndlessly(kind, pause, closed))
 				reached := 0
@@ -149,7 +141,7 @@
 	g := startTarget(t, "t")
 	n := startNode(t, g)
 	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 50, Phase: admission.Serving}, g.addr, false)
-	_ = n.SetConfig([]byte("1 1500"), "test")
+	setConfig(t, "1 1500", n)
 	kinds := []string{"header lines", "body without a length", "status line", "chunk extension"}
 	closed := make(chan struct{}, 1000)
 	var mu sync.Mutex
@@ -207,11 +199,7 @@
 	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
+			c := dialCaller(t, n)
 			fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", name)
 			responded := make(chan struct{})
 			go func() {
@@ -242,11 +230,7 @@
 // had not yet accepted when it closed its listener during a planned stop.
 func TestStopServesPendingConnections(t *testing.T) {
 	host, own := startTarget(t, "t"), startTarget(t, "own")
-	nh, n := startNode(t, host), startNode(t, own)
-	connectNodes(t, nh, n)
-	for _, x := range []*Node{nh, n} {
-		_ = x.SetConfig([]byte("1"), "test")
-	}
+	_, n := startPair(t, "1", host, own)
 	stopped := make(chan struct{})
 	var wait sync.WaitGroup
 	var mu sync.Mutex
@@ -305,7 +289,7 @@
 	}
 	t.Cleanup(func() { n.cancel(); n.nodeServer.http.Close(); n.callerServer.listener.Close() })
 	n.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 2, Phase: admission.Serving}, g.addr, false)
-	_ = n.SetConfig([]byte("1"), "test")
+	setConfig(t, "1", n)
 	var held []*admission.Reservation
 	for range 2 {
 		reserved, reason := n.gate.Reserve(t.Context(), admission.Request{Service: testService, AllowUntested: true})
--- a/mesh/requestfuzz_test.go
+++ b/mesh/requestfuzz_test.go
@@ -32,21 +32,8 @@
 }
 
 func startFuzzNode(t testing.TB) *fuzzNode {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	f := &fuzzNode{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f.serveTarget(c)
-		}
-	}()
+	l := listen(t, "127.0.0.1:0", func(c net.Conn) { go f.serveTarget(c) })
 	n := New(Config{
 		Zone: "z", CallerAddr: testutil.FreeAddr(t), NodeAddr: testutil.FreeAddr(t), GossipAddr: testutil.FreeAddr(t), Headers: testHeaders,
 		Decode: decodeTest, Log: discardEventLog().log, Seed: 1,
@@ -56,7 +43,7 @@
 	}
 	t.Cleanup(func() { n.cancel(); n.nodeServer.http.Close(); n.callerServer.listener.Close() })
 	n.SetTarget(admission.Target{ID: "t", Service: testService, Slots: 400, Phase: admission.Serving}, l.Addr().String(), false)
-	_ = n.SetConfig([]byte("1 10000"), "test")
+	setConfig(t, "1 10000", n)
 	f.node = n
 	return f
 }
--- a/mesh/reusedaddress_test.go
+++ b/mesh/reusedaddress_test.go
@@ -17,20 +17,10 @@
 	"hyssopbridge/upstream"
 )
 
-// servingTarget returns the state of a target that serves.
-func servingTarget(id string) admission.Target {
-	return admission.Target{ID: id, Service: testService, Slots: 4, Phase: admission.Serving}
-}
-
-// reserveFor reserves a slot for an order for the target with the given ID.
-func reserveFor(t *testing.T, n *Node, id string) (*admission.Reservation, admission.Request) {
-	t.Helper()
-	req := admission.Request{Target: id, Service: testService, AllowUntested: true, MaxRisk: 1}
-	reserved, reason := n.hostNode.reserve(t.Context(), req, func() {})
-	if reserved == nil {
-		t.Fatal(reason)
-	}
-	return reserved, req
+// orderFor returns the admission request of an order for the target with the
+// given ID.
+func orderFor(id string) admission.Request {
+	return admission.Request{Target: id, Service: testService, AllowUntested: true, MaxRisk: 1}
 }
 
 // Guards against an order that runs twice when its target's process has ended,
@@ -49,9 +39,7 @@
 					nodes = append(nodes, entry)
 				}
 				connectNodes(t, nodes...)
-				for _, n := range nodes {
-					_ = n.SetConfig([]byte("1"), "test")
-				}
+				setConfig(t, "1", nodes...)
 				var reused atomic.Pointer[stubTarget]
 				client := upstream.NewClient(upstream.Config{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 					c, err := dialTarget(ctx, addr)
@@ -92,26 +80,22 @@
 // Guards against a request that is sent to a new instance, or by a new host
 // node, under a reservation of the one that had the address before.
 func TestReservationOfFormerOwnerOfAddress(t *testing.T) {
-	for name, run := range map[string]func(t *testing.T, n *Node, old *stubTarget) (next *stubTarget, err error){
-		"new instance at the same address": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
-			reserved, req := reserveFor(t, n, "old")
-			old.close()
-			next := startTargetAt(t, "new", old.addr)
-			n.SetTarget(servingTarget("new"), next.addr, false)
-			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
-			return next, err
-		},
-		"restart under the same ID": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
-			reserved, req := reserveFor(t, n, "old")
+	atSameAddress := func(id string, restarted bool) func(*testing.T, *Node, *stubTarget) (*stubTarget, error) {
+		return func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
+			reserved := mustReserve(t, n, orderFor("old"))
 			old.close()
-			next := startTargetAt(t, "old", old.addr)
-			n.SetTarget(servingTarget("old"), next.addr, true)
-			_, err := n.hostNode.run(t.Context(), reserved, req, testOrder(n, time.Second))
+			next := startTargetAt(t, id, old.addr)
+			n.SetTarget(servingTarget(id), next.addr, restarted)
+			_, err := n.hostNode.run(t.Context(), reserved, orderFor("old"), testOrder(n, time.Second))
 			return next, err
-		},
+		}
+	}
+	for name, run := range map[string]func(t *testing.T, n *Node, old *stubTarget) (next *stubTarget, err error){
+		"new instance at the same address": atSameAddress("new", false),
+		"restart under the same ID":        atSameAddress("old", true),
 		"new host node at the same address": func(t *testing.T, n *Node, old *stubTarget) (*stubTarget, error) {
 			entry := startNode(t, nil)
-			r, err := entry.remote.reserve(t.Context(), n.cfg.NodeAddr, admission.Request{Target: "old", Service: testService, AllowUntested: true, MaxRisk: 1})
+			r, err := entry.remote.reserve(t.Context(), n.cfg.NodeAddr, orderFor("old"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -127,7 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			old := startTarget(t, "old")
 			n := startNode(t, old)
-			_ = n.SetConfig([]byte("1"), "test")
+			setConfig(t, "1", n)
 			next, err := run(t, n, old)
 			if got := asResultError(err).Ran; got != resultcode.RanNo {
 				t.Errorf("ran %q, want %q: %v", got, resultcode.RanNo, err)
@@ -154,7 +138,7 @@
 		})
 	}
 	n := startNode(t, targets[0])
-	_ = n.SetConfig([]byte("1"), "test")
+	setConfig(t, "1", n)
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -172,7 +156,7 @@
 	for range 4 {
 		wg.Go(func() {
 			for k := 0; sent.Load() < requests; k++ {
-				req := admission.Request{Target: targets[k%2].id, Service: testService, AllowUntested: true, MaxRisk: 1}
+				req := orderFor(targets[k%2].id)
 				reserved, _ := n.hostNode.reserve(t.Context(), req, func() {})
 				if reserved == nil {
 					continue // the other instance is in place
--- a/mesh/stream_test.go
+++ b/mesh/stream_test.go
@@ -37,11 +37,7 @@
 // that look complete, and against slots that are never released.
 func TestLongBodies(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1"), "test")
-	}
+	host, entry := startPair(t, "1", g, nil)
 	markTested(t, host, "first")
 	for _, n := range []*Node{host, entry} {
 		for _, chunked := range []bool{false, true} {
@@ -64,22 +60,15 @@
 	}
 	sent := make(chan int, 1)
 	g.setHandler(respondOK)
-	req, err := http.NewRequest(http.MethodPost, "http://"+entry.cfg.CallerAddr+"/order/1", strings.NewReader(strings.Repeat("q", longBody)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Id", "long")
 	g.setHandler(func(w io.Writer, r *http.Request) bool {
 		sent <- int(r.ContentLength)
 		return respondOK(w, r)
 	})
-	httpResp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
+	got := sendOrder(t, entry, "long", longBody)
+	if got.err != nil {
+		t.Fatal(got.err)
 	}
-	defer httpResp.Body.Close()
-	if n := <-sent; httpResp.StatusCode != 200 || n != longBody {
-		t.Errorf("long request: status %d, %d bytes", httpResp.StatusCode, n)
+	if n := <-sent; got.status != 200 || n != longBody {
+		t.Errorf("long request: status %d, %d bytes", got.status, n)
 	}
 }
--- a/mesh/truncated_test.go
+++ b/mesh/truncated_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-
-	"hyssopbridge/admission"
 )
 
 // cutHeads are the beginnings of responses whose target stops in the head.
@@ -28,16 +26,12 @@
 // short body that looks whole, through either hop.
 func TestResponseCutInHead(t *testing.T) {
 	g := startTarget(t, "t")
-	host, entry := startNode(t, g), startNode(t, nil)
-	connectNodes(t, host, entry)
-	for _, n := range []*Node{host, entry} {
-		_ = n.SetConfig([]byte("1 1000"), "test")
-	}
+	host, entry := startPair(t, "1 1000", g, nil)
 	for name, head := range cutHeads {
 		for hop, n := range []*Node{host, entry} {
 			id := fmt.Sprint(name, hop)
 			// The target counts as just started, without the failures before.
-			host.SetTarget(admission.Target{ID: g.id, Service: testService, Slots: 4, Phase: admission.Serving}, g.addr, true)
+			host.SetTarget(servingTarget(g.id), g.addr, true)
 			g.setHandler(func(w io.Writer, r *http.Request) bool {
 				if r.Header.Get("X-Id") != id {
 					return respondOK(w, r)
--- a/mesh/versioncheck_test.go
+++ b/mesh/versioncheck_test.go
@@ -41,8 +41,8 @@
 func TestNewKeyOfUnheardVersion(t *testing.T) {
 	n, other := startCustomerNode(t, startTarget(t, "t")), startCustomerNode(t, nil)
 	connectNodes(t, n, other)
-	setCustomers(t, n, "1 0 secret")
-	setCustomers(t, other, "1 0 secret")
+	setConfig(t, "1 0 secret", n)
+	setConfig(t, "1 0 secret", other)
 	wantResponse(t, send(t, n, "/read/1", "none"), 401, "")
 	if got := counterOf(n, metricVersionChecks); got != 0 {
 		t.Errorf("%d checks for a request without a key", got)
@@ -51,7 +51,7 @@
 	other.peers.mu.Lock()
 	clear(other.peers.byAddr)
 	other.peers.mu.Unlock()
-	setCustomers(t, other, "2 0 another")
+	setConfig(t, "2 0 another", other)
 	status := 503
 	for deadline := time.Now().Add(waitLimit); status == 503 && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		status = send(t, n, "/read/1", "new", "X-Key", "another").status
--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -149,9 +149,7 @@
 	n.peers.mu.Unlock()
 	n.startFetch(versionSource{version: 5, sameZone: true})
 	<-asked
-	if err := other.SetConfig([]byte("5"), "test"); err != nil {
-		t.Fatal(err)
-	}
+	setConfig(t, "5", other)
 	other.AddPeer(netip.MustParseAddrPort(n.GossipAddr()))
 	testutil.Eventually(t, "the version is in force", func() bool { return n.identity().Version == 5 })
 	select {
