mesh: do not confirm a version by an answer from before a second suspension

Cause: a suspension that was noticed while an earlier one was not confirmed yet was not recorded. A process that is suspended twice within the time of one confirmation could take the answer from before the second suspension for a confirmation, and serve by a version whose keys are withdrawn since.

Change: each suspension replaces the time that has to be confirmed, and an answer counts only if no further suspension was noticed since it was asked for.

--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -240,6 +241,31 @@
 	}
 }
 
+// Guards against a version that counts as confirmed by an answer from before a
+// second suspension.
+func TestSecondSuspensionNeedsConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var now atomic.Int64
+		asked := 0
+		s := &suspension{now: func() time.Duration { return time.Duration(now.Load()) }, log: discardEventLog()}
+		suspend := func() {
+			now.Add(int64(10 * time.Second))
+			s.step()
+		}
+		s.confirm = func(context.Context) error {
+			if asked++; asked == 1 {
+				suspend() // between the answer and its processing
+			}
+			return nil
+		}
+		suspend()
+		synctest.Wait()
+		if asked != 2 || !s.confirmed() {
+			t.Errorf("%d confirmations after two suspensions, confirmed %v; want 2 and true", asked, s.confirmed())
+		}
+	})
+}
+
 // Guards against status 401 for a key that another node's version holds.
 func TestNewKeyAtNodeBehind(t *testing.T) {
 	n := startCustomerNode(t, startTarget(t, "t"))
--- a/mesh/suspension.go
+++ b/mesh/suspension.go
@@ -31,7 +31,7 @@
 	now      func() time.Duration
 	log      *eventLog
 	lastStep atomic.Int64 // time of the latest step of the heartbeat loop
-	// unconfirmed is when a suspension was noticed; 0 if the version is
+	// unconfirmed is when the latest suspension was noticed; 0 if the version is
 	// confirmed since.
 	unconfirmed atomic.Int64
 	// confirm asks other nodes for a newer version and puts it in force. It
@@ -42,16 +42,31 @@
 // step is called in each step of the heartbeat loop.
 func (s *suspension) step() {
 	now := s.now()
-	gap := now - time.Duration(s.lastStep.Load())
-	if gap > suspensionGap && s.unconfirmed.CompareAndSwap(0, int64(now)) {
+	if gap := now - time.Duration(s.lastStep.Load()); gap > suspensionGap {
 		s.log.suspended(gap)
-		go s.awaitConfirmation(now)
+		if s.unconfirmed.Swap(int64(now)) == 0 {
+			go s.awaitConfirmation()
+		}
 	}
 	s.lastStep.Store(int64(now)) // last, so that confirmed never reports true in between
 }
 
-func (s *suspension) awaitConfirmation(since time.Duration) {
-	defer s.unconfirmed.Store(0)
+// awaitConfirmation returns once the version is confirmed, or maxUnconfirmed after
+// the latest suspension. An answer from before a further suspension does not
+// count: the version may be out of date again.
+func (s *suspension) awaitConfirmation() {
+	for {
+		since := s.unconfirmed.Load()
+		s.confirmSince(time.Duration(since))
+		if s.unconfirmed.CompareAndSwap(since, 0) {
+			return
+		}
+	}
+}
+
+// confirmSince asks until other nodes confirm the version, for at most
+// maxUnconfirmed from since.
+func (s *suspension) confirmSince(since time.Duration) {
 	for s.now()-since < maxUnconfirmed {
 		ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
 		err := s.confirm(ctx)
