mesh: admit a retry and count it in one step

Cause: the check of a retry budget and the count of the retry were two steps, so retries that asked at the same moment were all admitted on the same rest. The budget of a service, and that for calls of retried runs, could both be exceeded by as many retries as were decided on at once.

Change: budget.admission is held from the check until the count, and callBudget.mu in callBudget.admit.

--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -58,6 +58,9 @@
 	// calls bounds the calls that the retried runs make to other services, which
 	// count as retries there.
 	calls *callBudget
+	// admission is locked from the check of the allowance until a retry is counted,
+	// so that concurrent retries are not admitted on the same rest.
+	admission sync.Mutex
 
 	mu            sync.Mutex
 	maxHosts      int     // largest number of hosts of the service seen so far
@@ -113,6 +116,8 @@
 
 // admitRetry reports whether the allowance permits a retry, and counts it if so.
 func (b *budget) admitRetry(r admission.Request) bool {
+	b.admission.Lock()
+	defer b.admission.Unlock()
 	if !b.hasRoom(r.Urgent) || !b.calls.admit(runSource(r.Idempotent)) {
 		return false
 	}
--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +112,31 @@
 		t.Error("retries that reached no target used up the budget")
 	}
 }
+
+// Guards against retries of different connections that are admitted at the same
+// moment on the same rest of the budget.
+func TestConcurrentRetriesRespectBudget(t *testing.T) {
+	policy := RetryPolicy{Ratio: 0.2, Slack: 80}
+	for name, retryCalls := range map[string]float64{"of the service": unlimitedCalls, "of the called service": 100} {
+		t.Run(name, func(t *testing.T) {
+			b, g := testBudget(policy, time.Minute, retryCalls)
+			want := admittedRetries(b, g, 100)
+			b, g = testBudget(policy, time.Minute, retryCalls)
+			now := b.now
+			b.now = func() time.Duration {
+				runtime.Gosched() // another retry may be decided on here
+				return now()
+			}
+			b.calls.now = b.now
+			var wait sync.WaitGroup
+			var admitted atomic.Int64
+			for range 100 {
+				wait.Go(func() { admitted.Add(int64(admittedRetries(b, g, 1))) })
+			}
+			wait.Wait()
+			if got := int(admitted.Load()); got != want {
+				t.Errorf("%d retries were admitted at once, want %d as one after the other", got, want)
+			}
+		})
+	}
+}
--- a/mesh/callbudget.go
+++ b/mesh/callbudget.go
@@ -37,6 +37,8 @@
 
 // admit reports whether a retry may run, and counts it if so.
 func (b *callBudget) admit(s callSource) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	windows, ok := b.windows(s)
 	if !ok {
 		return false
@@ -49,6 +51,8 @@
 
 // admits reports whether a retry may run.
 func (b *callBudget) admits(s callSource) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	_, ok := b.windows(s)
 	return ok
 }
@@ -65,10 +69,8 @@
 }
 
 // windows returns the windows of the services that a run calls. ok is false if
-// one of them has no room for a retried run.
+// one of them has no room for a retried run. The caller holds b.mu.
 func (b *callBudget) windows(s callSource) (windows []*limits.RetryBudget, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	now := b.now()
 	for service, calls := range b.calls.callsPerRun(s) {
 		allowed, otherHosts, known := b.view.RetryCalls(service)
