limits: end no transfer for a body that exceeds the whole memory budget

Cause: a body of more bytes than a Memory has can never be taken, but each attempt revoked all transfers that were behind.

Change: such an attempt is refused at once and revokes nothing.

--- a/limits/memory.go
+++ b/limits/memory.go
@@ -76,8 +76,8 @@
 }
 
 // Take takes n more bytes. It waits for a short time if the budget is short, and
-// returns a *resultcode.Error with code MemoryLimit if it stays so or the account
-// was revoked or closed.
+// returns a *resultcode.Error with code MemoryLimit if it stays so, the account
+// was revoked or closed, or n exceeds the whole budget.
 func (a *MemoryAccount) Take(n int64) error {
 	if a == nil {
 		return nil
@@ -126,11 +126,12 @@
 }
 
 // tryTake takes n bytes or else returns a channel that is closed when bytes are
-// given back, which is nil for a revoked or closed account.
+// given back, which is nil for a revoked or closed account and for more bytes than
+// the budget has.
 func (a *MemoryAccount) tryTake(n int64) (bool, <-chan struct{}) {
 	m := a.memory
 	m.mu.Lock()
-	if a.revoked || a.closed {
+	if a.revoked || a.closed || n > m.limit {
 		m.mu.Unlock()
 		return false, nil
 	}
--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -154,3 +154,14 @@
 		t.Errorf("error %v, %d bytes in use after an account was closed", err, m.Used())
 	}
 }
+
+// Guards against transfers that are ended for a body which is larger than the
+// whole budget and so cannot be taken in any case.
+func TestMemoryRevokesNothingInVain(t *testing.T) {
+	m := NewMemory(100, func() time.Duration { return 0 }, nil)
+	slow := m.Open()
+	slow.SetTransfer(&Lag{behind: time.Second}, func() {})
+	if !slow.TryTake(50) || m.Open().TryTake(101) || slow.Revoked() {
+		t.Errorf("%d bytes in use, the slow transfer is revoked: %v", m.Used(), slow.Revoked())
+	}
+}
