--- a/limits/connguard_test.go
+++ b/limits/connguard_test.go
@@ -20,15 +20,20 @@
 func (c *fakeConn) SetDeadline(time.Time) error       { c.past = true; return nil }
 func (c *fakeConn) SetReadDeadline(t time.Time) error { return c.SetDeadline(t) }
 
+// testConnGuard returns a guard and the server that reports to it.
+func testConnGuard(total, perIP int) (*ConnGuard, *http.Server) {
+	start := time.Now()
+	g := NewConnGuard(total, perIP, 0, func() time.Duration { return time.Since(start) }, func(string, string) {})
+	server := &http.Server{}
+	g.Install(server)
+	return g, server
+}
+
 // Guards against connections without a request, or whose transfer does not
 // advance, that keep others out, and against cutting requests that advance.
 func TestConnGuardClosesLeastUseful(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		start := time.Now()
-		now := func() time.Duration { return time.Since(start) }
-		g := NewConnGuard(8, 6, 0, now, func(string, string) {})
-		server := &http.Server{}
-		g.Install(server)
+		g, server := testConnGuard(8, 6)
 		conns := map[string]*fakeConn{}
 		open := func(name, ip string, state http.ConnState) *GuardedConn {
 			conns[name] = &fakeConn{ip: ip}
@@ -44,7 +49,7 @@
 		}
 		open("idle", "10.0.0.1", http.StateIdle)
 		stalled := open("stalled", "10.0.0.1", http.StateActive)
-		stalled.Body.Begin(now())
+		stalled.Body.Begin(g.now())
 		open("active 1", "10.0.0.1", http.StateActive)
 		open("active 2", "10.0.0.2", http.StateActive)
 		open("active 3", "10.0.0.2", http.StateActive)
@@ -78,15 +83,11 @@
 // write deadline, after its request has run.
 func TestConnGuardClosesCutConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		start := time.Now()
-		now := func() time.Duration { return time.Since(start) }
-		g := NewConnGuard(1, 1, 0, now, func(string, string) {})
-		server := &http.Server{}
-		g.Install(server)
+		g, server := testConnGuard(1, 1)
 		slow := &fakeConn{ip: "10.0.0.1"}
 		c := g.Admit(slow)
 		server.ConnState(c, http.StateActive)
-		c.WriteLag().Begin(now())
+		c.WriteLag().Begin(g.now())
 		time.Sleep(time.Second)
 		g.Admit(&fakeConn{ip: "10.0.0.1"})
 		if !slow.past {
@@ -102,10 +103,7 @@
 // Guards against one address that takes the place of all others.
 func TestConnGuardPerAddress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		start := time.Now()
-		g := NewConnGuard(100, 10, 0, func() time.Duration { return time.Since(start) }, func(string, string) {})
-		server := &http.Server{}
-		g.Install(server)
+		g, server := testConnGuard(100, 10)
 		for range 200 {
 			if c := g.Admit(&fakeConn{ip: "10.0.0.1"}); c != nil {
 				server.ConnState(c, http.StateActive)
--- a/mesh/brokenrequest_test.go
+++ b/mesh/brokenrequest_test.go
@@ -20,14 +20,17 @@
 // trickle.
 const brokenHeaderTimeout = 300 * time.Millisecond
 
-// decodeShortHeaderTimeout is decodeTest with brokenHeaderTimeout.
-func decodeShortHeaderTimeout(raw []byte) (*dynamic.Config, error) {
-	c, err := decodeTest(raw)
-	if err != nil {
-		return nil, err
+// withLimits makes a node use decodeTest with changed limits.
+func withLimits(change func(*dynamic.Limits)) func(*Config) {
+	return func(c *Config) {
+		c.Decode = func(raw []byte) (*dynamic.Config, error) {
+			cfg, err := decodeTest(raw)
+			if err == nil {
+				change(&cfg.Limits)
+			}
+			return cfg, err
+		}
 	}
-	c.Limits.HeaderTimeout = brokenHeaderTimeout
-	return c, nil
 }
 
 // orderHead returns the head of an order without its blank line.
@@ -129,7 +132,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := startHeadTarget(t, readWholeOrder)
-			entry := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, func(c *Config) { c.Decode = decodeShortHeaderTimeout })
+			entry := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, withLimits(func(l *dynamic.Limits) { l.HeaderTimeout = brokenHeaderTimeout }))
 			setConfig(t, "1", entry)
 			markTested(t, entry, "first")
 			c := dialCaller(t, entry)
@@ -255,6 +258,7 @@
 // which fails: one that passes the limit, is malformed, or whose caller leaves.
 func TestFailedBodyFreesTarget(t *testing.T) {
 	const limit = 2 * maxBuffered
+	limited := withLimits(func(l *dynamic.Limits) { l.BodyBytes = limit })
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("b", 64<<10))
 	for name, end := range map[string]func(c *net.TCPConn){
 		"passes the limit": func(c *net.TCPConn) { _, _ = io.WriteString(c, strings.Repeat(chunk, limit/(64<<10))) },
@@ -277,10 +281,10 @@
 						}
 						readWholeOrder(c, br, r)
 					})
-					host := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, decodeWithBodyLimit(limit))
+					host := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, limited)
 					entry := host
 					if path != orderPaths[0] {
-						entry = startNodeWith(t, nil, decodeWithBodyLimit(limit))
+						entry = startNodeWith(t, nil, limited)
 						connectNodes(t, entry, host)
 					}
 					setConfig(t, "1 60000", entry, host) // the deadline is later than the end of the test
@@ -308,17 +312,3 @@
 		}
 	}
 }
-
-// decodeWithBodyLimit makes a node use configurations with the given limit on
-// bodies in bytes.
-func decodeWithBodyLimit(limit int64) func(*Config) {
-	return func(c *Config) {
-		c.Decode = func(raw []byte) (*dynamic.Config, error) {
-			cfg, err := decodeTest(raw)
-			if err == nil {
-				cfg.Limits.BodyBytes = limit
-			}
-			return cfg, err
-		}
-	}
-}
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -118,24 +118,33 @@
 }
 
 func (g *stubTarget) serve(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
+	serveRequests(c, func(_ *bufio.Reader, r *http.Request) bool {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
+			return false
 		}
 		g.mu.Lock()
 		g.runs[r.Header.Get("X-Id")]++
 		handler := g.handler
 		g.mu.Unlock()
-		if !handler(c, r) {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
+		if handler(c, r) {
+			return true
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	})
+}
+
+// serveRequests calls handle with the requests on a connection, and with the
+// reader of what follows their headers, until handle returns false or the
+// connection ends. It closes the connection.
+func serveRequests(c net.Conn, handle func(br *bufio.Reader, r *http.Request) (keep bool)) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil || !handle(br, r) {
 			return
 		}
 	}
--- a/mesh/memory_test.go
+++ b/mesh/memory_test.go
@@ -127,14 +127,22 @@
 	}
 }
 
-// Guards against a target that is handed more bytes at once than its host can
-// bear, and against refusing a single large request.
-func TestBytesAtTarget(t *testing.T) {
+// startBoundedTarget starts a target and its node, whose bodies in flight to the
+// target may hold the given number of bytes.
+func startBoundedTarget(t *testing.T, config string, bytesAtTarget int64) (*stubTarget, *Node) {
+	t.Helper()
 	g := startTarget(t, "t")
 	n := startNode(t, g)
-	setConfig(t, "1", n)
+	setConfig(t, config, n)
 	markTested(t, n, "first")
-	n.resources.atTarget = limits.NewMemory(100<<10, n.resources.now, nil)
+	n.resources.atTarget = limits.NewMemory(bytesAtTarget, n.resources.now, nil)
+	return g, n
+}
+
+// Guards against a target that is handed more bytes at once than its host can
+// bear, and against refusing a single large request.
+func TestBytesAtTarget(t *testing.T) {
+	g, n := startBoundedTarget(t, "1", 100<<10)
 	wantResponse(t, sendOrder(t, n, "alone", 200<<10), http.StatusOK, "")
 	began, finish := make(chan struct{}), make(chan struct{})
 	g.setHandler(func(w io.Writer, r *http.Request) bool {
@@ -161,11 +169,7 @@
 // refused while one large body is in flight to it, and against a chunked body of
 // which only the buffered part counts.
 func TestBytesAtTargetOfStreams(t *testing.T) {
-	g := startTarget(t, "t")
-	n := startNode(t, g)
-	setConfig(t, "1", n)
-	markTested(t, n, "first")
-	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
+	g, n := startBoundedTarget(t, "1", 4<<20)
 	for name, body := range map[string]string{
 		"announced": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 5<<20)),
 		"chunked":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 5<<20, strings.Repeat("z", 5<<20)),
@@ -198,11 +202,7 @@
 // Guards against one caller that announces a large body and sends it slowly, and
 // so makes a target refuse all other large bodies until its deadline.
 func TestSlowBodyGivesWayAtTarget(t *testing.T) {
-	g := startTarget(t, "t")
-	n := startNode(t, g)
-	setConfig(t, "1 600000", n)
-	markTested(t, n, "first")
-	n.resources.atTarget = limits.NewMemory(4<<20, n.resources.now, nil)
+	_, n := startBoundedTarget(t, "1 600000", 4<<20)
 	c := dialCaller(t, n)
 	fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: slow\r\nContent-Length: %d\r\n\r\n%s", 5<<20, strings.Repeat("z", 2<<20))
 	testutil.Eventually(t, "the slow body is in flight", func() bool { return n.resources.atTarget.Used() > 0 })
--- a/mesh/notrun_test.go
+++ b/mesh/notrun_test.go
@@ -30,23 +30,16 @@
 func startHeadTarget(t *testing.T, then func(c *net.TCPConn, br *bufio.Reader, r *http.Request)) *headTarget {
 	t.Helper()
 	g := &headTarget{began: make(chan string, 100)}
-	serve := func(c net.Conn) {
-		defer c.Close()
-		br := bufio.NewReader(c)
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
+	g.addr = listen(t, "127.0.0.1:0", func(c net.Conn) {
+		go serveRequests(c, func(br *bufio.Reader, r *http.Request) bool {
 			if r.Method == http.MethodGet {
-				respondOK(c, r)
-				continue
+				return respondOK(c, r)
 			}
 			g.began <- r.Header.Get("X-Id")
 			then(c.(*net.TCPConn), br, r)
-		}
-	}
-	g.addr = listen(t, "127.0.0.1:0", func(c net.Conn) { go serve(c) }).Addr().String()
+			return true
+		})
+	}).Addr().String()
 	return g
 }
 
--- a/mesh/protocol_test.go
+++ b/mesh/protocol_test.go
@@ -49,18 +49,10 @@
 }
 
 func (g *modelTarget) serve(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
+	serveRequests(c, func(_ *bufio.Reader, r *http.Request) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
-		if !g.respond(c, r) {
-			return
-		}
-	}
+		return g.respond(c, r)
+	})
 }
 
 func (g *modelTarget) respond(c net.Conn, r *http.Request) (keep bool) {
--- a/mesh/requestfuzz_test.go
+++ b/mesh/requestfuzz_test.go
@@ -49,22 +49,17 @@
 }
 
 func (f *fuzzNode) serveTarget(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
+	serveRequests(c, func(_ *bufio.Reader, r *http.Request) bool {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
-			return
+			return false
 		}
 		f.mu.Lock()
 		f.got = append(f.got, targetRequest{r.Method, r.Host, r.RequestURI, r.Header.Get("X-Id"), body})
 		f.mu.Unlock()
 		writeTestResponse(c, 200, r.Header.Get("X-Id"), "ok")
-	}
+		return true
+	})
 }
 
 func (f *fuzzNode) take() []targetRequest {
