mesh, admission: mend comments; use one function to sleep until a context ends

Cause: comments whose lines were broken in the middle of a sentence after edits, one of timeOfReturn that did not say what bounds the wait, and call.pause, which did the same as sleepUntilDone.

Change: the comments, and pause is gone. No change in behaviour.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -18,9 +18,9 @@
 	// minUsage is the usage at which a customer is forgotten.
 	minUsage = 0.05
 	// lowShare is the part of what it is owed by weight below which a customer goes
-	// with those of the highest priority. The operators allow no customer to be
-	// served less than a quarter as often as all; it is twice that, since customers
-	// ask for different multiples of their weight.
+	// with those of the highest priority. No customer may be served less than a
+	// quarter as often as all; lowShare is twice that, since customers ask for
+	// different multiples of their weight.
 	lowShare = 0.5
 	// overShare is the part of what it is owed above which a customer's requests are
 	// refused at once while demand stays above capacity. With 1 lines are too
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -18,9 +18,10 @@
 
 const (
 	// reserveTimeout is how long a host node may take to respond to a
-	// reservation, or to state that the request waits in line. It exceeds a round trip between
-	// zones plus a pause of a throttled process, which is up to 100 ms. A
-	// request that tries a host which is down loses this much of its time.
+	// reservation, or to state that the request waits in line. It exceeds a round
+	// trip between zones plus a pause of a throttled process, which is up to
+	// 100 ms. A request that tries a host which is down loses this much of its
+	// time.
 	reserveTimeout = 120 * time.Millisecond
 	// responseGrace is how long after the deadline of a request its host node
 	// may still respond.
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -96,7 +96,7 @@
 			return reservedTarget{}, noTargetError("no second target", reason)
 		}
 		if round > 1 {
-			c.pause()
+			sleepUntilDone(c.ctx, roundPause)
 		}
 	}
 }
@@ -183,15 +183,6 @@
 	return notRun(resultcode.CallerGone, "caller disconnected before a target accepted the request")
 }
 
-func (c *call) pause() {
-	timer := time.NewTimer(roundPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-}
-
 // tryRound asks the host nodes once. The first round asks for targets with a
 // recent success, the second for any that is not ejected, and later rounds wait
 // for a slot.
--- a/mesh/retryafter.go
+++ b/mesh/retryafter.go
@@ -162,11 +162,10 @@
 
 // timeOfReturn returns after what time the retry budget, or a target of the
 // service, is expected to have room for a caller that was refused for a reason,
-// behind the callers that this node has sent away before. The first
-// attempt of a request that comes back needs no budget, so the budget counts only
-// where targets shed most requests. What makes them shed ends at a time that is
-// not known, so a caller waits for budget no longer than it can and probably still
-// be served within its objective.
+// behind the callers that this node has sent away before. The first attempt of a
+// request that comes back needs no budget, so the budget counts only where targets
+// shed most requests. When they stop shedding is not known, so a caller waits for
+// budget at most maxFailureWaitShare of its objective.
 func (d *dispatcher) timeOfReturn(route *dynamic.Route, service string, reason resultcode.Code) time.Duration {
 	room, ok := d.view.RoomFor(service, d.latencies.expected(route), d.searches.count(service))
 	if !ok {
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -94,9 +94,8 @@
 }
 
 // lostConfigReader returns the latest loss of a reader of the own zone: for how
-// long the reader has been silent, or since when it has given up or been
-// replaced. ok is false if
-// none was lost recently.
+// long the reader has been silent, or how long ago it gave up or was replaced. ok
+// is false if none was lost recently.
 func (p *peers) lostConfigReader() (since time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,7 +142,7 @@
 }
 
 // LostConfigReader reports whether a reader of this zone was lost recently, and
-// for how long it has been silent or replaced.
+// how long ago it fell silent, gave up or was replaced.
 func (n *Node) LostConfigReader() (since time.Duration, ok bool) { return n.peers.lostConfigReader() }
 
 // zoneHasConfigReader reports whether another node of the same availability
