mesh: one function to sleep until a context ends

Cause: sleepUntilDone in budgetwait.go did the same as sleep in node.go.

Change: sleep serves both, with a doc comment. No change in behaviour.

--- a/mesh/budgetwait.go
+++ b/mesh/budgetwait.go
@@ -308,7 +308,7 @@
 		if len(c.outOfBudget) > 0 || !c.d.view.AdmitsRetries(c.service) {
 			queues.recordNone(w)
 		}
-		sleepUntilDone(ctx, queues.poll(w))
+		sleep(ctx, queues.poll(w))
 	}
 }
 
@@ -331,12 +331,3 @@
 	}
 	return reservedTarget{}, false
 }
-
-func sleepUntilDone(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -354,6 +354,7 @@
 	return err
 }
 
+// sleep returns after d or when ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -96,7 +96,7 @@
 			return reservedTarget{}, noTargetError("no second target", reason)
 		}
 		if round > 1 {
-			sleepUntilDone(c.ctx, roundPause)
+			sleep(c.ctx, roundPause)
 		}
 	}
 }
