mesh, limits: count a retry when it reaches its target, not when it asks

Cause: a host counted a retry when it asked for a slot. One that then waited in line, for up to 0.75 of its objective, left the window of the budget as many seconds too early, so that more retries than allowed reached the target within one window: those that had waited and the next ones.

Change: RetryBudget.Postpone moves the count to the moment of the reservation. A retry in line keeps its place in the budget meanwhile, as before. Calls of retried runs (callBudget) still count when the retry asks.

Result: in TestRetriesThatWaitedCountWhenTheyStart 42 retries of one host started within 10 s, where the service's whole allowance at the host is 40, in 5 of 5 runs before; it passes in 5 of 5 after.

--- a/limits/budget.go
+++ b/limits/budget.go
@@ -111,6 +111,18 @@
 	b.spend(retries)
 }
 
+// Postpone counts a retry as of now that was counted at an earlier time.
+func (b *RetryBudget) Postpone(counted, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if n := int64(counted / retryBucket); n > b.current-keptRetries {
+		b.retries[n%keptRetries]--
+		b.sumRetry--
+	}
+	b.spend(1)
+}
+
 func (b *RetryBudget) remaining() float64 {
 	return b.share*float64(b.sumReq) + b.slack + b.rounding - b.sumRetry
 }
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -85,8 +85,13 @@
 	if r.Retry && !b.admitRetry(r) {
 		return nil, admission.NoBudget
 	}
+	asked := b.now()
 	reserved, reason := g.ReserveInLine(ctx, r, onQueued)
 	switch {
+	case reserved != nil && r.Retry:
+		// It reaches the target now, which may be seconds after it asked.
+		b.window.Postpone(asked, b.now())
+		b.direct.Postpone(asked, b.now())
 	case reserved == nil && r.Retry:
 		b.spend(-1)
 		b.calls.giveBack(runSource(r.Idempotent))
--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hyssopbridge/admission"
@@ -140,3 +141,68 @@
 		})
 	}
 }
+
+// Guards against retries that are counted when they go in line and reach the
+// target seconds later, so that more of them than allowed reach it in one window.
+func TestRetriesThatWaitedCountWhenTheyStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Minute + time.Since(started) }
+		g := admission.NewGate(now, admission.DefaultDetectorConfig(), nil)
+		const slots = 100
+		g.SetTarget(admission.Target{ID: "t", Service: "s", Slots: slots, Phase: admission.Serving})
+		calls := &outboundCalls{now: now}
+		view := placement.NewView(placement.DefaultConfig("", "z"), now, 1)
+		b := newBudget(now, func() RetryPolicy { return RetryPolicy{Ratio: 0.2, Slack: 80} }, func() int { return 4 }, newCallBudget(now, view, calls, 1), 1)
+		first := admission.Request{Target: "t", Service: "s", Idempotent: true, AllowUntested: true}
+		var running []*admission.Reservation
+		for range slots {
+			reserved, reason := b.reserve(t.Context(), g, first)
+			if reserved == nil {
+				t.Fatal(reason)
+			}
+			reserved.Claim()
+			running = append(running, reserved)
+		}
+		var starts []time.Duration
+		var mu sync.Mutex
+		retry := first
+		retry.Retry, retry.MaxWait, retry.GoodWait = true, 8*time.Second, 8*time.Second
+		sendRetries := func() {
+			for range 40 {
+				go func() {
+					reserved, _ := b.reserve(t.Context(), g, retry)
+					if reserved == nil {
+						return
+					}
+					mu.Lock()
+					starts = append(starts, now())
+					mu.Unlock()
+					reserved.Claim()
+					reserved.Release(admission.Success)
+				}()
+			}
+		}
+		sendRetries()
+		time.Sleep(6 * time.Second)
+		for _, r := range running {
+			r.Release(admission.Success)
+		}
+		time.Sleep(budgetWindow + budgetStep - 6*time.Second)
+		sendRetries()
+		time.Sleep(10 * time.Second)
+		most := 0
+		for _, from := range starts {
+			n := 0
+			for _, at := range starts {
+				if at >= from && at < from+budgetWindow {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		if allowed := 0.2*slots + 80.0/4; float64(most) > allowed || most == 0 {
+			t.Errorf("%d of %d retries started within a window, want some and at most %.0f", most, len(starts), allowed)
+		}
+	})
+}
