limits: credit the refunds of a relayed quota request at once

Cause: a relayed request credited its refunds one by one, in a loop whose length a datagram states, up to 2^32, while the lock of all quotas was held.

Change: refund takes the number of tokens; the number of tickets of a relay is computed once. The credit is the same.

--- a/limits/quota.go
+++ b/limits/quota.go
@@ -430,7 +430,7 @@
 	select {
 	case d := <-t.done:
 		if d.Granted {
-			l.refund(now, key, t.asked)
+			l.refund(now, key, t.asked, 1)
 		}
 	default:
 	}
@@ -441,18 +441,19 @@
 func (l *Quotas) Refund(now time.Duration, key RateKey, taken time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refund(now, key, taken)
+	l.refund(now, key, taken, 1)
 }
 
-func (l *Quotas) refund(now time.Duration, key RateKey, taken time.Duration) {
+// refund credits back tokens, the oldest of which was taken at the given time.
+func (l *Quotas) refund(now time.Duration, key RateKey, taken time.Duration, tokens uint32) {
 	e := l.entries[key]
-	if e == nil {
-		return // the key has been idle for so long that its bucket is full
+	if e == nil || tokens == 0 {
+		return // the key has been idle for so long that its bucket is full, or nothing is credited
 	}
 	if e.refund == 0 {
 		e.refundSince, e.refundAt = taken, now
 	}
-	e.refund++
+	e.refund += tokens
 	e.refundSince = min(e.refundSince, taken)
 }
 
@@ -645,7 +646,7 @@
 	for i, t := range asked {
 		switch {
 		case uint32(i) < g.Granted && t.canceled:
-			l.refund(now, key, t.asked)
+			l.refund(now, key, t.asked, 1)
 		case uint32(i) < g.Granted:
 			t.decide(QuotaDecision{Granted: true})
 		case t.canceled:
@@ -724,7 +725,7 @@
 	id := relayKey{from, req.Key}
 	r := l.relays[id]
 	if r == nil || r.session != session || req.Seq > r.grant.Seq {
-		r = &quotaRelay{l: l, from: from, session: session, at: now, left: req.Want, grant: QuotaGrant{Key: req.Key, Seq: req.Seq}}
+		r = &quotaRelay{l: l, from: from, session: session, at: now, left: min(req.Want, maxRelayed), grant: QuotaGrant{Key: req.Key, Seq: req.Seq}}
 		l.relays[id] = r
 		e := l.entries[req.Key]
 		if e == nil {
@@ -732,13 +733,10 @@
 			l.entries[req.Key] = e
 		}
 		e.lastUsed = now
-		for range min(req.Want, maxRelayed) {
+		for range r.left {
 			e.queue = append(e.queue, &QuotaTicket{asked: now, until: now + relayWait, relay: r})
 		}
-		r.left = min(req.Want, maxRelayed)
-		for range req.Refund {
-			l.refund(now, req.Key, now-time.Duration(req.RefundAge)*time.Millisecond)
-		}
+		l.refund(now, req.Key, now-time.Duration(req.RefundAge)*time.Millisecond, req.Refund)
 	}
 	if e := l.entries[req.Key]; e != nil {
 		l.advance(now, req.Key, e) // also repeats the request to the owner
