--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -9,6 +9,18 @@
 // entry node may try another host, even for non-idempotent requests. Package
 // admission decides at the host node, package placement at the entry node.
 //
+// A request that finds no free slot waits in the queue of the host that states the
+// shortest wait, and moves on if that host fails. Retries are bounded by a budget
+// that the host nodes of the service grant (budget); those that find none left
+// wait for it at the entry node (budgetQueues). A caller that is refused is told
+// when there will probably be room (returnTimes).
+//
+// If the configuration has customers, the entry node identifies the caller by its
+// key and takes a token of its customer's quota, which holds at all nodes together
+// (quotas). After a suspension of the process a node refuses requests until another
+// one has confirmed its configuration, or none has for some seconds (suspension).
+// resources bounds the memory and sockets that callers, nodes and targets take.
+//
 // Nodes send each other their status and configuration version in heartbeat
 // datagrams, at each change and at intervals, and include the status in every
 // response between nodes. A node that learns of a newer configuration fetches
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,4 +10,8 @@
 // requests go first to targets that have had no request for long or whose trial
 // request is due, so that a gray failure is first met by a request that can be
 // retried.
+//
+// RankToWait orders the hosts by the wait for a slot that they state, for requests
+// that found none free, and RoomFor estimates when a caller that is refused may
+// come back.
 package placement
