--- a/mesh/brokenrequest_test.go
+++ b/mesh/brokenrequest_test.go
@@ -20,14 +20,17 @@
 // trickle.
 const brokenHeaderTimeout = 300 * time.Millisecond
 
-// decodeShortHeaderTimeout is decodeTest with brokenHeaderTimeout.
-func decodeShortHeaderTimeout(raw []byte) (*dynamic.Config, error) {
-	c, err := decodeTest(raw)
-	if err != nil {
-		return nil, err
+// withLimits makes a node use decodeTest with changed limits.
+func withLimits(change func(*dynamic.Limits)) func(*Config) {
+	return func(c *Config) {
+		c.Decode = func(raw []byte) (*dynamic.Config, error) {
+			cfg, err := decodeTest(raw)
+			if err == nil {
+				change(&cfg.Limits)
+			}
+			return cfg, err
+		}
 	}
-	c.Limits.HeaderTimeout = brokenHeaderTimeout
-	return c, nil
 }
 
 // orderHead returns the head of an order without its blank line.
@@ -87,16 +90,6 @@
 	respondOK(c, r)
 }
 
-func dialCaller(t *testing.T, n *Node) *net.TCPConn {
-	t.Helper()
-	c, err := net.Dial("tcp4", n.cfg.CallerAddr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c.(*net.TCPConn)
-}
-
 // checkPromises checks that no order began, now or a little later, whose
 // response promises that it is not run.
 func (g *headTarget) checkPromises(t *testing.T, statuses []int) {
@@ -139,10 +132,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := startHeadTarget(t, readWholeOrder)
-			entry := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, func(c *Config) { c.Decode = decodeShortHeaderTimeout })
-			if err := entry.SetConfig([]byte("1"), "test"); err != nil {
-				t.Fatal(err)
-			}
+			entry := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, withLimits(func(l *dynamic.Limits) { l.HeaderTimeout = brokenHeaderTimeout }))
+			setConfig(t, "1", entry)
 			markTested(t, entry, "first")
 			c := dialCaller(t, entry)
 			_, _ = io.WriteString(c, test.first)
@@ -267,6 +258,7 @@
 // which fails: one that passes the limit, is malformed, or whose caller leaves.
 func TestFailedBodyFreesTarget(t *testing.T) {
 	const limit = 2 * maxBuffered
+	limited := withLimits(func(l *dynamic.Limits) { l.BodyBytes = limit })
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("b", 64<<10))
 	for name, end := range map[string]func(c *net.TCPConn){
 		"passes the limit": func(c *net.TCPConn) { _, _ = io.WriteString(c, strings.Repeat(chunk, limit/(64<<10))) },
@@ -289,15 +281,13 @@
 						}
 						readWholeOrder(c, br, r)
 					})
-					host := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, decodeWithBodyLimit(limit))
+					host := startNodeWith(t, &stubTarget{id: "t", addr: g.addr}, limited)
 					entry := host
 					if path != orderPaths[0] {
-						entry = startNodeWith(t, nil, decodeWithBodyLimit(limit))
+						entry = startNodeWith(t, nil, limited)
 						connectNodes(t, entry, host)
 					}
-					for _, n := range []*Node{entry, host} {
-						_ = n.SetConfig([]byte("1 60000"), "test") // the deadline is later than the end of the test
-					}
+					setConfig(t, "1 60000", entry, host) // the deadline is later than the end of the test
 					markTested(t, entry, "first")
 					c := dialCaller(t, entry)
 					_, _ = io.WriteString(c, orderHead("x", "Transfer-Encoding: chunked")+"\r\n"+strings.Repeat(chunk, maxBuffered/(64<<10)+1))
@@ -322,17 +312,3 @@
 		}
 	}
 }
-
-// decodeWithBodyLimit makes a node use configurations with the given limit on
-// bodies in bytes.
-func decodeWithBodyLimit(limit int64) func(*Config) {
-	return func(c *Config) {
-		c.Decode = func(raw []byte) (*dynamic.Config, error) {
-			cfg, err := decodeTest(raw)
-			if err == nil {
-				cfg.Limits.BodyBytes = limit
-			}
-			return cfg, err
-		}
-	}
-}
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -58,6 +58,9 @@
 	// calls bounds the calls that the retried runs make to other services, which
 	// count as retries there.
 	calls *callBudget
+	// admission is locked from the check of the allowance until a retry is counted,
+	// so that concurrent retries are not admitted on the same rest.
+	admission sync.Mutex
 
 	mu            sync.Mutex
 	maxHosts      int     // largest number of hosts of the service seen so far
@@ -82,8 +85,13 @@
 	if r.Retry && !b.admitRetry(r) {
 		return nil, admission.NoBudget
 	}
+	asked := b.now()
 	reserved, reason := g.ReserveInLine(ctx, r, onQueued)
 	switch {
+	case reserved != nil && r.Retry:
+		// It reaches the target now, which may be seconds after it asked.
+		b.window.Postpone(asked, b.now())
+		b.direct.Postpone(asked, b.now())
 	case reserved == nil && r.Retry:
 		b.spend(-1)
 		b.calls.giveBack(runSource(r.Idempotent))
@@ -113,6 +121,8 @@
 
 // admitRetry reports whether the allowance permits a retry, and counts it if so.
 func (b *budget) admitRetry(r admission.Request) bool {
+	b.admission.Lock()
+	defer b.admission.Unlock()
 	if !b.hasRoom(r.Urgent) || !b.calls.admit(runSource(r.Idempotent)) {
 		return false
 	}
