mesh: a failed read tries an untested or busy host before it returns the error

Cause: traced with the logs of TestRetryWhereSafe under load. The node beside the healthy target had sent its own first read to the other target, so the healthy one had no success yet. For 400 ms, until it counts as idle, its host refused the retry as "unproven", three rounds passed within some milliseconds, and the read returned its 500 with 4.98 s left. That reservations time out was a second way to the same end: three in a row, 360 ms, ended the retry too. That was not seen in the runs, but follows from the loop.

Change: an idempotent request that holds an error response accepts a target without any success in its last round, since the alternative is the error. Hedges are as before.

--- a/mesh/dispatcher.go
+++ b/mesh/dispatcher.go
@@ -69,6 +69,7 @@
 
 	memoryRefusals int  // attempts that were refused for lack of memory
 	lostPlace      bool // the host in whose queue the request waited failed or stops, so it looks for another one
+	unanswered     bool // a host node did not answer a reservation in time in this round, and may be busy
 	noRoom         bool // the hosts with the shortest queues have no room in time
 
 	otherZoneAsks int // host nodes of other zones that were asked for a slot
--- a/mesh/reservation.go
+++ b/mesh/reservation.go
@@ -92,7 +92,8 @@
 		if reason == admission.NoBudget && round+1 >= c.retryRounds {
 			return reservedTarget{}, noTargetError("no further target", reason)
 		}
-		if (c.fallback != nil || c.hedge) && round >= c.retryRounds {
+		mayAnswer := c.unanswered && !c.hedge && !c.hasWaited()
+		if (c.fallback != nil || c.hedge) && round >= c.retryRounds && !mayAnswer {
 			return reservedTarget{}, noTargetError("no second target", reason)
 		}
 		if round > 1 {
@@ -196,6 +197,7 @@
 // recent success, the second for any that is not ejected, and later rounds wait
 // for a slot.
 func (c *call) tryRound(round int) (reservedTarget, admission.Reason, bool) {
+	c.unanswered = false
 	if round > 1 {
 		if waiting := c.d.view.RankToWait(c.placementRequest(round), c.d.latencies.expected(c.route)); len(waiting) > 0 {
 			return c.waitInLine(waiting, round)
@@ -378,7 +380,7 @@
 		Target: cand.Target, Service: c.service, Zone: c.d.zone, Customer: c.q.customerName(), Weight: c.q.weight(), Priority: c.q.priority(c.route),
 		Idempotent: c.q.idempotent, NoRetry: c.lacksRetry(), MaxRisk: c.maxRisk(round), LastResort: cand.LastResort,
 		Retry: c.delivered > 0, Urgent: c.isUrgentRetry(), CalledByRetry: c.q.fromRetryProb,
-		AllowUntested: c.elapsedShare() > untestedAfterShare, OverdueAfter: c.d.latencies.overdue(c.route),
+		AllowUntested: c.elapsedShare() > untestedAfterShare || c.isLastChance(round), OverdueAfter: c.d.latencies.overdue(c.route),
 	}
 	if c.q.rest != nil {
 		r.OverdueAfter = 0 // the run lasts at least as long as the caller sends
@@ -386,6 +388,13 @@
 	return r
 }
 
+// isLastChance reports whether an idempotent request that failed at a target gets
+// no further target if it is refused in this round. One without any success is
+// then a better choice than the failure.
+func (c *call) isLastChance(round int) bool {
+	return c.q.idempotent && c.fallback != nil && round >= c.retryRounds
+}
+
 // maxRisk returns the probability of failure that the request accepts in a
 // round.
 func (c *call) maxRisk(round int) float64 {
@@ -453,6 +462,7 @@
 	case ctx.Err() != nil:
 		return reservedTarget{}, admission.CallerLeft, false
 	}
+	c.unanswered = c.unanswered || errors.Is(err, errNoAnswer)
 	c.d.view.PathFailed(cand.Addr)
 	c.d.log.hostNotReached(c.q.id, cand.Addr, err)
 	return reservedTarget{}, admission.NoTarget, false
