mesh, limits: take a returned retry from the time at which it was counted

Cause: a retry that left the line was returned at that time, so once its count had left the window the return alone remained, for up to the time it had waited, and permitted one more retry than allowed. Found while reading the join. Change: RetryBudget.Return takes it back where it was counted. The time is read before the retry is counted, so that a step of the window in between can only make the budget stricter. New tests of the join use the shared fixtures. Result: TestReturnedRetryLeavesNoCredit; the tests of budgets and retries of limits and mesh pass.

--- a/limits/budget.go
+++ b/limits/budget.go
@@ -116,11 +116,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	b.uncount(counted)
+	b.spend(1)
+}
+
+// Return takes back a retry that was counted at an earlier time and that was not
+// made.
+func (b *RetryBudget) Return(counted, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.uncount(counted)
+}
+
+// uncount takes back a retry, unless it has left the window since it was counted.
+// Taking it from a later bucket would permit one more retry after that.
+func (b *RetryBudget) uncount(counted time.Duration) {
 	if n := int64(counted / retryBucket); n > b.current-keptRetries {
 		b.retries[n%keptRetries]--
 		b.sumRetry--
 	}
-	b.spend(1)
 }
 
 func (b *RetryBudget) remaining() float64 {
--- a/limits/budget_test.go
+++ b/limits/budget_test.go
@@ -118,3 +118,21 @@
 		}
 	})
 }
+
+// Guards against a retry that is returned some time after it was counted and then
+// permits one more than allowed, once the time of its count has left the window.
+func TestReturnedRetryLeavesNoCredit(t *testing.T) {
+	b := NewRetryBudget(1)
+	b.Spend(time.Second, 1)
+	b.Return(time.Second, 7*time.Second)
+	for now := 7 * time.Second; now < 30*time.Second; now += time.Second {
+		if _, retries := b.Used(now); retries != 0 {
+			t.Fatalf("%d retries counted at %v, want 0", retries, now)
+		}
+	}
+	b.Spend(30*time.Second, 1)
+	b.Return(30*time.Second, 50*time.Second)
+	if _, retries := b.Used(50 * time.Second); retries != 0 {
+		t.Errorf("%d retries counted after one that has left the window was returned, want 0", retries)
+	}
+}
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -82,10 +82,10 @@
 // wait.
 func (b *budget) reserveInLine(ctx context.Context, g *admission.Gate, r admission.Request, onQueued func()) (*admission.Reservation, admission.Reason) {
 	b.configure()
+	asked := b.now()
 	if r.Retry && !b.admitRetry(r) {
 		return nil, admission.NoBudget
 	}
-	asked := b.now()
 	reserved, reason := g.ReserveInLine(ctx, r, onQueued)
 	switch {
 	case reserved != nil && r.Retry:
@@ -93,7 +93,8 @@
 		b.window.Postpone(asked, b.now())
 		b.direct.Postpone(asked, b.now())
 	case reserved == nil && r.Retry:
-		b.spend(-1)
+		b.window.Return(asked, b.now())
+		b.direct.Return(asked, b.now())
 		b.calls.giveBack(runSource(r.Idempotent))
 	case reserved != nil && !r.Retry:
 		b.recordFirst(r.CalledByRetry)
--- a/mesh/earlyanswer_test.go
+++ b/mesh/earlyanswer_test.go
@@ -45,9 +45,7 @@
 					_, _ = io.Copy(io.Discard, br)
 				})
 				entry, host := startPath(t, path, orders.addr)
-				for _, n := range []*Node{entry, host} {
-					_ = n.SetConfig([]byte("2 60000"), "test") // the deadline is later than the end of the test
-				}
+				setConfig(t, "2 60000", entry, host) // the deadline is later than the end of the test
 				want := http.StatusOK
 				if expires {
 					entry.entryNode.dispatcher.remote = expiringReserver{entry.entryNode.dispatcher.remote, host.hostNode}
@@ -73,7 +71,7 @@
 func TestBodyCrossesSlowLink(t *testing.T) {
 	g := startTarget(t, "t")
 	host := startNode(t, g)
-	_ = host.SetConfig([]byte("1"), "test")
+	setConfig(t, "1", host)
 	var answer string
 	// A busy machine may take longer to send the head than the reservation lasts.
 	for range 10 {
@@ -82,7 +80,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		id := host.hostNode.store(reserveFor(t, host, "t"))
+		id := host.hostNode.store(mustReserve(t, host, orderFor("t")), orderFor("t"))
 		fmt.Fprint(c, orderHead("x", headerReservation+": "+id, headerTimeLeft+": 5000", "Content-Length: 2")+"\r\na")
 		time.Sleep(600 * time.Millisecond) // reservations expire after 400 ms
 		fmt.Fprint(c, "b")
