--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -70,6 +70,9 @@
 	added     time.Duration // when the node was added
 	held      []Departure   // departures of the node's host, kept for its later processes
 	replaced  bool          // an earlier process of the node was known here
+	// gaveUpReading is when the node last gave up its role as a reader of the
+	// configuration; 0 if it has not.
+	gaveUpReading time.Duration
 }
 
 // peers exchanges heartbeats with the other nodes.
--- a/mesh/zone.go
+++ b/mesh/zone.go
@@ -83,8 +83,11 @@
 	if !isReaderOf(q, zone) || msg.Flags&flagConfigReader != 0 {
 		return
 	}
-	if msg.Started == q.last.Started && p.hasOtherReader(q, zone) {
-		return
+	if msg.Started == q.last.Started {
+		q.gaveUpReading = p.now()
+		if p.hasOtherReader(q, zone) {
+			return
+		}
 	}
 	p.readerReplaced = p.now()
 	select {
@@ -213,18 +216,20 @@
 }
 
 // RankInZone returns the number of live nodes of the same availability zone
-// with a lower address, without lost readers.
+// with a lower address, without readers that were lost or gave up recently.
 func (n *Node) RankInZone() int { return n.peers.rankInZone() }
 
 // rankInZone returns the number of live nodes of the same availability zone
-// with a lower address, without lost readers.
+// with a lower address, without readers that were lost or gave up recently: these
+// have probably lost their way to the source.
 func (p *peers) rankInZone() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	self := p.identity()
+	now, self := p.now(), p.identity()
 	rank := 0
 	for _, q := range p.byAddr {
 		lost := isReaderOf(q, self.Zone) && !p.isConfigReader(q, self.Zone)
+		lost = lost || !isReaderOf(q, self.Zone) && q.gaveUpReading > 0 && now-q.gaveUpReading < silentTimeout
 		if q.known && !q.silent && !lost && q.last.Zone == self.Zone && q.last.Addr < self.Addr {
 			rank++
 		}
--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -94,6 +94,29 @@
 	}
 }
 
+// Guards against nodes that leave the first turns to read the configuration to
+// nodes which have just given up, as those do that lost their way to the source.
+func TestNodesThatGaveUpHaveNoTurn(t *testing.T) {
+	clock := time.Minute
+	n := New(Config{Zone: "z", NodeAddr: "127.0.0.9:1", GossipAddr: "127.0.0.9:2", Clock: func() time.Duration { return clock }})
+	clock += time.Second
+	for _, addr := range []string{"127.0.0.1:1", "127.0.0.3:1"} {
+		q := addReader(n, addr, flagStandby)
+		msg := q.last
+		msg.Flags = 0
+		n.peers.noteReplacedReader(q, msg)
+		q.last = msg
+	}
+	addReader(n, "127.0.0.5:1", 0).last.Flags = 0
+	if rank := n.RankInZone(); rank != 1 {
+		t.Errorf("rank %d behind one node and two that gave up, want 1", rank)
+	}
+	clock += silentTimeout
+	if rank := n.RankInZone(); rank != 3 {
+		t.Errorf("rank %d behind three nodes %v after two of them gave up, want 3", rank, silentTimeout)
+	}
+}
+
 // Guards against a reader whose zone notices its loss late because no node gets
 // its frequent heartbeats, or all nodes of a large zone get them.
 func TestStandbysOfReader(t *testing.T) {
