admission: learn the usual load over 10 s before the first line

All orders that are refused are so in the last second of the burst, at hosts where they would start in time by their deadline (expected wait about 6 to 12 s of 22), but where the room that is foreseen, the usually free capacity until the deadline, does not cover the line (5.7 s of work, 5.6 s of room). The free capacity is the wrong estimate: until a request has waited, the fraction in use was a mean over the last second, so when the first line formed, hosts took 0.22 to 0.70 for the usual one (true: 0.43), and kept that for the burst, since the mean then follows over 22 s. The first observation after the start of the process also replaced the assumed fraction by that of one instant.

Change: the mean is taken over 10 s until a request has waited, and begins with the first observation.

TestUsualLoadIsNotThatOfTheLastSecond fails before.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -209,14 +209,19 @@
 // loadMeter learns how much of a target's capacity is in use, over about as long
 // as requests may wait.
 type loadMeter struct {
-	at      time.Duration
-	horizon time.Duration // longest recent Request.MaxWait
+	started bool
+	at      time.Duration // latest observation
+	horizon time.Duration // longest recent Request.MaxWait, firstHorizon until a request has waited
 	inUse   float64       // mean fraction of slots in use
 }
 
 const (
 	// initialInUse is the fraction of slots that is assumed in use at first.
 	initialInUse = 0.5
+	// firstHorizon is the time over which the mean is taken until a request has
+	// waited. A mean over the last second would take the load of that second, in
+	// which the line forms, for the usual one as long as the line lasts.
+	firstHorizon = 10 * time.Second
 	// horizonDecay is the factor on the learned horizon for each request that may
 	// wait.
 	horizonDecay = 0.99
@@ -225,11 +230,14 @@
 	minHorizon = time.Second
 )
 
-func newLoadMeter() loadMeter { return loadMeter{inUse: initialInUse, horizon: minHorizon} }
+func newLoadMeter() loadMeter { return loadMeter{inUse: initialInUse, horizon: firstHorizon} }
 
 // observe counts the time since the last call, in which a fraction of the slots
 // was in use.
 func (m *loadMeter) observe(now time.Duration, inUse float64) {
+	if !m.started {
+		m.started, m.at = true, now
+	}
 	kept := math.Exp(-float64(now-m.at) / float64(m.horizon))
 	m.inUse = kept*m.inUse + (1-kept)*min(1, inUse)
 	m.at = now
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -144,3 +144,24 @@
 		t.Error("the waiter got no slot after the risk had fallen")
 	}
 }
+
+// Guards against late requests that are refused because the load of the second in
+// which the first line forms is taken for the usual one, and against a first
+// observation that replaces what is assumed.
+func TestUsualLoadIsNotThatOfTheLastSecond(t *testing.T) {
+	m := newLoadMeter()
+	at := time.Hour
+	m.observe(at, 0)
+	if m.inUse != initialInUse {
+		t.Errorf("%.2f in use after the first observation", m.inUse)
+	}
+	for range 50 {
+		at += 100 * time.Millisecond
+		m.observe(at, 0.4)
+	}
+	m.observe(at+time.Second, 1)
+	m.observeWait(22 * time.Second)
+	if m.inUse > 0.55 {
+		t.Errorf("%.2f in use, after 5 s with 0.4 and 1 s with 1", m.inUse)
+	}
+}
