placement: a zone with more load sends a share of its requests to others

Cause: a zone served its own requests until its targets were 1.1 more loaded than those of other zones (OtherZonePenalty), so with three fifths of the requests in one of three zones the busiest of 18 equal targets got 1.61 of the mean, want at most 1.2 (TestEqualTargetsAreEquallyBusy/uneven_zones).

Change: each request prefers one zone; targets elsewhere have the penalty. It is the node's own, or another one with the probability of a share. The share is a sum over time of the difference between the loads of the zones beyond a bound, and grows only while the own zone is more than half full. Lasting differences are evened out, those by chance move little. Downloads stay in their zone.

--- a/placement/rank.go
+++ b/placement/rank.go
@@ -10,15 +10,16 @@
 
 // Request describes a request to place.
 type Request struct {
-	Service    string
-	Idempotent bool
-	NoRetry    bool     // idempotent, but could not be retried after a failure, so it is no trial request
-	Download   bool     // the response is large, so traffic between availability zones matters
-	Retry      bool     // an earlier attempt reached a target
-	Urgent     bool     // a retry of a request that has not run and can still be in time
-	MaxRisk    float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
-	Tried      []string // addresses of the hosts that are excluded
-	testIdle   bool     // many targets are idle, so non-idempotent requests test them too
+	Service       string
+	Idempotent    bool
+	NoRetry       bool     // idempotent, but could not be retried after a failure, so it is no trial request
+	Download      bool     // the response is large, so traffic between availability zones matters
+	Retry         bool     // an earlier attempt reached a target
+	Urgent        bool     // a retry of a request that has not run and can still be in time
+	MaxRisk       float64  // highest risk of a target that the request accepts; ignored if it may be a trial request
+	Tried         []string // addresses of the hosts that are excluded
+	testIdle      bool     // many targets are idle, so non-idempotent requests test them too
+	preferredZone string   // targets in other zones have a penalty
 }
 
 // Candidate is a host to ask.
@@ -89,6 +90,7 @@
 	list := v.byService[r.Service]
 	out := make([]Candidate, 0, len(list))
 	r.testIdle = !r.NoRetry && v.idleShare(list, now) >= v.cfg.IdleTestShare
+	r.preferredZone = v.preferredZone(r, list, now)
 	for _, h := range list {
 		if h.status.Phase != admission.Serving || h.status.Stopping || now < h.absentUntil || slices.Contains(r.Tried, h.Addr) {
 			continue
@@ -240,11 +242,11 @@
 	s := &h.status
 	score := h.load() + v.cfg.Jitter*v.rand.Float64()
 	switch {
-	case h.Addr == v.cfg.Self:
+	case h.Addr == v.cfg.Self && h.Zone == r.preferredZone:
 		score -= v.cfg.SelfBonus
 	case h.Zone != v.cfg.Zone && r.Download:
 		score += v.cfg.OtherZoneDownloadPenalty
-	case h.Zone != v.cfg.Zone:
+	case h.Zone != r.preferredZone:
 		score += v.cfg.OtherZonePenalty
 	}
 	if s.Cold {
--- a/placement/view.go
+++ b/placement/view.go
@@ -13,7 +13,7 @@
 type Config struct {
 	Zone             string  // availability zone of this node
 	Self             string  // address of this node
-	OtherZonePenalty float64 // added for a host in another availability zone
+	OtherZonePenalty float64 // added for a host outside the zone that the request prefers
 	// OtherZoneDownloadPenalty replaces OtherZonePenalty for requests with large
 	// responses.
 	OtherZoneDownloadPenalty float64
@@ -80,6 +80,7 @@
 	mu        sync.Mutex
 	hosts     map[string]*host
 	byService map[string][]*host
+	spills    map[string]*zoneSpill // by service
 	rand      *rand.Rand
 }
 
@@ -87,7 +88,7 @@
 func NewView(cfg Config, now func() time.Duration, seed uint64) *View {
 	return &View{
 		cfg: cfg, now: now,
-		hosts: map[string]*host{}, byService: map[string][]*host{},
+		hosts: map[string]*host{}, byService: map[string][]*host{}, spills: map[string]*zoneSpill{},
 		rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 	}
 }
