mesh: places in the line for retry budget go by deadline

Cause, by a trace of TestShedRequestsAwaitBudget (all targets shed half for 8 s): budget is spent on retries of orders and reads in the first four seconds, 16 to 30 of some 600 retries are hedges, and it comes back 10 s later. It then went to orders, of which most had 15 to 20 s left and could have used that of the next window, while reads with 10 to 15 s left had been refused, since every waiting order counted as ahead of them.

Change: a request keeps its place if it and all that have one find budget in time when they ask in the order of their deadlines; places are still given by urgency, so less urgent requests lose them first. Late requests ask in the order of their deadlines.

--- a/mesh/budgetwait.go
+++ b/mesh/budgetwait.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -110,18 +111,60 @@
 	})
 	q.waiters = slices.Insert(q.waiters, ahead, w)
 	b.configure(q)
-	kept := q.waiters[:0]
-	for _, x := range q.waiters {
-		if !b.stopped && x.until > now && float64(len(kept)+1) <= q.retriesUntil(x.until, now) {
-			kept = append(kept, x)
+	if b.stopped {
+		dropAll(q.waiters)
+		q.waiters = nil
+	} else {
+		q.dropThoseWithoutBudget(now)
+	}
+	q.chooseFirst(now)
+	return ahead, slices.Contains(q.waiters, w)
+}
+
+// dropThoseWithoutBudget keeps the requests for which there is probably budget in
+// time, the most urgent first. A request has budget if all that keep their
+// places and end no later than any given time have it until then, when they ask
+// in the order of their deadlines. So one with a near deadline does not lose its
+// place to more urgent ones that can use the budget of a later window.
+func (q *budgetQueue) dropThoseWithoutBudget(now time.Duration) {
+	byDeadline := make([]deadlineBudget, 0, len(q.waiters))
+	var kept, dropped []*budgetWaiter
+	for _, w := range q.waiters {
+		at, _ := slices.BinarySearchFunc(byDeadline, w.until, func(d deadlineBudget, until time.Duration) int { return cmp.Compare(d.until, until) })
+		byDeadline = slices.Insert(byDeadline, at, deadlineBudget{w.until, q.retriesUntil(w.until, now)})
+		if w.until > now && haveBudget(byDeadline, at) {
+			kept = append(kept, w)
 			continue
 		}
-		close(x.dropped)
+		byDeadline = slices.Delete(byDeadline, at, at+1)
+		dropped = append(dropped, w)
 	}
-	clear(q.waiters[len(kept):])
 	q.waiters = kept
-	q.chooseFirst(now)
-	return ahead, slices.Contains(kept, w)
+	dropAll(dropped)
+}
+
+// deadlineBudget is the latest start of a retry and the number of retries that
+// the node can probably make until then.
+type deadlineBudget struct {
+	until   time.Duration
+	retries float64
+}
+
+// haveBudget reports whether each of the requests from an index on, in the order
+// of their deadlines, has budget after those before it.
+func haveBudget(byDeadline []deadlineBudget, from int) bool {
+	for i := from; i < len(byDeadline); i++ {
+		if float64(i+1) > byDeadline[i].retries {
+			return false
+		}
+	}
+	return true
+}
+
+func dropAll(waiters []*budgetWaiter) {
+	for _, w := range waiters {
+		close(w.dropped)
+	}
 }
 
 // stop drops all requests, since their connections are about to be closed, and
@@ -131,9 +174,7 @@
 	defer b.mu.Unlock()
 	b.stopped = true
 	for _, q := range b.byService {
-		for _, w := range q.waiters {
-			close(w.dropped)
-		}
+		dropAll(q.waiters)
 		q.waiters = nil
 	}
 }
@@ -180,7 +221,8 @@
 // before reports whether the request asks for budget before another one. Requests
 // that can still be in time go first, the newest of them before others: when
 // budget is short, the opposite order sends each when it is nearly too late.
-// Those that are late follow in the order of their deadlines.
+// Those that are late follow in the order of their deadlines, whatever their
+// priority: only those for which there is budget in this order keep their places.
 func (w *budgetWaiter) before(x *budgetWaiter, now time.Duration) bool {
 	inTime := now < w.inTime
 	switch {
@@ -188,12 +230,12 @@
 		return w.nested
 	case inTime != (now < x.inTime):
 		return inTime
+	case !inTime:
+		return w.until < x.until
 	case w.priority != x.priority:
 		return w.priority < x.priority
-	case inTime:
-		return w.inTime > x.inTime
 	}
-	return w.until < x.until
+	return w.inTime > x.inTime
 }
 
 // chooseFirst gives the turn to the most urgent request.
--- a/mesh/budgetwait_test.go
+++ b/mesh/budgetwait_test.go
@@ -78,6 +78,48 @@
 	}
 }
 
+// Guards against a request that is refused for more urgent ones with later
+// deadlines, for which there is budget in time after it, and against one that
+// keeps its place although more urgent ones then have none.
+func TestBudgetQueueKeepsNearDeadlines(t *testing.T) {
+	now := time.Minute
+	// This node has six retries in a window of 10 s.
+	q := newBudgetQueues(func() time.Duration { return now }, func() RetryPolicy { return RetryPolicy{Slack: 4 * 6 / budgetShare} }, func() int { return 4 }, 1)
+	for range 6 {
+		q.recordRetry("s")
+	}
+	now += 7 * time.Second // they leave the window in 4 s
+	enter := func(priority int, left time.Duration) *budgetWaiter {
+		w := &budgetWaiter{priority: priority, inTime: now - time.Second, until: now + left}
+		q.enter("s", w)
+		return w
+	}
+	ended := func(c chan struct{}) bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	}
+	for range 6 {
+		enter(1, 25*time.Second)
+	}
+	read := enter(2, 8*time.Second)
+	if ended(read.dropped) {
+		t.Error("a request is refused although more urgent ones have budget after it")
+	}
+	if !ended(read.turn) {
+		t.Error("a late request with a later deadline is first")
+	}
+	for range 8 {
+		enter(1, 8*time.Second)
+	}
+	if !ended(read.dropped) {
+		t.Error("a request keeps its place although more urgent ones have no budget in time")
+	}
+}
+
 // Guards against requests that wait for retry budget until their node has closed
 // their connections without a response.
 func TestBudgetQueueStops(t *testing.T) {
