--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -191,6 +191,8 @@
 		time.Sleep(budgetWindow + budgetStep - 6*time.Second)
 		sendRetries()
 		time.Sleep(10 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		most := 0
 		for _, from := range starts {
 			n := 0
