mesh: a refusal keeps the connection if its small body has arrived

Cause: since an answer before the end of the body closes the connection, each refusal by key, quota or route did so for a request with a body, although net/http had read small bodies to their end and kept the connection before. Change: a body that nobody has begun to read is read up to 16 KiB for at most 20 ms before the answer. Result: TestRefusalKeepsConnection failed before and passes; the tests of answers before the end, of broken, stopped and streamed bodies, heads and memory pass with the race detector.

--- a/mesh/earlyanswer_test.go
+++ b/mesh/earlyanswer_test.go
@@ -66,6 +66,26 @@
 	}
 }
 
+// Guards against a refusal that costs the caller its connection although the small
+// body of the request has arrived.
+func TestRefusalKeepsConnection(t *testing.T) {
+	entry := startNode(t, nil)
+	setConfig(t, "1", entry)
+	c := dialCaller(t, entry)
+	br := bufio.NewReader(c)
+	for _, body := range []string{"Content-Length: 5\r\n\r\nabcde", "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"} {
+		fmt.Fprint(c, "POST /unknown HTTP/1.1\r\nHost: h.example\r\nX-Id: x\r\n"+body)
+		r, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.StatusCode != http.StatusNotFound || r.Close {
+			t.Errorf("status %d, connection closes %v; want 404 and a connection that stays", r.StatusCode, r.Close)
+		}
+	}
+}
+
 // Guards against the rest of a body that is served as a request of its own after
 // an answer that came before the body had ended: a body longer than what net/http
 // discards, and one whose rest arrives later than it waits.
--- a/mesh/requestbody.go
+++ b/mesh/requestbody.go
@@ -7,14 +7,23 @@
 	"time"
 )
 
-// requestBody notes when the body of a request has been read to its end.
+const (
+	// maxDiscardedBody and discardTimeout bound the body that is read and thrown
+	// away so that the connection of a refused request can be kept: a body of that
+	// size has usually arrived with its head.
+	maxDiscardedBody = 16 << 10
+	discardTimeout   = 20 * time.Millisecond
+)
+
+// requestBody notes how far the body of a request has been read.
 type requestBody struct {
 	io.ReadCloser
-	ended atomic.Bool
+	begun, ended atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.begun.Store(true)
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.ended.Store(true)
@@ -30,6 +39,7 @@
 type earlyAnswerWriter struct {
 	http.ResponseWriter
 	body        *requestBody
+	mayDiscard  bool // reading the body does not ask the caller to send it
 	wroteHeader bool
 }
 
@@ -46,13 +56,15 @@
 	original := r.Body
 	body := &requestBody{ReadCloser: original}
 	r.Body = body
-	return &earlyAnswerWriter{ResponseWriter: w, body: body}, func() { r.Body = original }
+	mayDiscard := r.Header.Get("Expect") == ""
+	return &earlyAnswerWriter{ResponseWriter: w, body: body, mayDiscard: mayDiscard}, func() { r.Body = original }
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *earlyAnswerWriter) WriteHeader(status int) {
 	if final := status >= 200; final && !w.wroteHeader {
 		w.wroteHeader = true
+		w.discardSmallBody()
 		if !w.body.ended.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -60,6 +72,24 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// discardSmallBody reads a small body that nobody reads. One that is being read
+// by another goroutine is left to it.
+func (w *earlyAnswerWriter) discardSmallBody() {
+	if !w.mayDiscard || w.body.begun.Load() {
+		return
+	}
+	control := http.NewResponseController(w.ResponseWriter)
+	if control.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return // the connection is closed
+	}
+	_, _ = io.CopyN(io.Discard, w.body, maxDiscardedBody+1) // the connection is closed unless this reaches the end
+	if !w.body.ended.Load() {
+		// net/http reads on after the answer, so that the caller gets it before the
+		// connection is reset.
+		_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // Write implements io.Writer.
 func (w *earlyAnswerWriter) Write(p []byte) (int, error) {
 	if !w.wroteHeader {
