platform: write records again that a restore of the store may have lost

What callers would see: a target that left, and whose departure was acknowledged, is in use again after a restart of its node (DRAIN), and hosts that started shortly before and after a restore never find each other.

What the system wrote in the seconds before a restore is gone, and nobody wrote it again.

TestMessagesOfOtherVersions counts 14 fields of a heartbeat in place of 13; the tests of the length of heartbeats have the new field at its largest.

--- a/mesh/codec.go
+++ b/mesh/codec.go
@@ -117,6 +117,8 @@
 	FleetSize  int // nodes that the sender knows, with itself and silent ones
 	// Calls are what the sender observed of the calls of its target's runs.
 	Calls []wireCalls
+	// StoreEra is the latest era of the store that the sender knows; 0 if none.
+	StoreEra int64
 }
 
 // UnmarshalCBOR decodes a heartbeat of this or another version, see decodeArray.
--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -211,7 +211,7 @@
 		departures := slices.Repeat([]Departure{{Target: strings.Repeat("t", MaxDepartureTargetBytes), Born: math.MaxInt64, At: math.MaxInt64}}, maxDepartures)
 		b, err := cbor.Marshal(heartbeat{
 			Addr: "255.255.255.255:65535", Gossip: "255.255.255.255:65535", Zone: "zone", Status: encodeStatus(s),
-			Departures: departures, Held: departures,
+			Departures: departures, Held: departures, StoreEra: math.MaxInt64,
 		})
 		if err != nil || len(b) > maxHeartbeatBytes {
 			t.Fatalf("heartbeat of %d bytes, error %v", len(b), err)
@@ -257,7 +257,7 @@
 	}
 	msg := heartbeat{
 		Addr: "255.255.255.255:65535", Gossip: "255.255.255.255:65535", Zone: "zone", Status: encodeStatus(admission.Status{Target: long, Service: long}),
-		Departures: departures, Held: departures, Calls: encodeCalls(stats),
+		Departures: departures, Held: departures, Calls: encodeCalls(stats), StoreEra: math.MaxInt64,
 	}
 	if b, err := cbor.Marshal(msg); err != nil || len(b) <= maxHeartbeatBytes {
 		t.Fatalf("nothing has to be left out of %d bytes, error %v", len(b), err)
@@ -298,7 +298,7 @@
 	}{
 		{status, &wireStatus{}, 13},
 		{encodeReservation(admission.Request{Target: "t", Service: "s", MaxWait: time.Second}), &wireReservation{}, 13},
-		{heartbeat{Addr: "a", Gossip: "g", Started: 1, Status: status}, &heartbeat{}, 13},
+		{heartbeat{Addr: "a", Gossip: "g", Started: 1, Status: status}, &heartbeat{}, 14},
 	} {
 		b, err := cbor.Marshal(test.sent)
 		if err != nil {
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -122,6 +122,10 @@
 	l.log.WithFields(log.Fields{"version": version, "before": before, "routes": routes, "source": source}).Info("configuration in force")
 }
 
+func (l *eventLog) storeEra(era, before int64) {
+	l.log.WithFields(log.Fields{"era": era, "before": before}).Info("era of the store")
+}
+
 func (l *eventLog) configRefused(version int64, source string, err error) {
 	l.log.WithFields(log.Fields{"version": version, "source": source, "error": err.Error()}).Warn("configuration refused")
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -41,8 +41,11 @@
 	// holds, and whether that node knew an earlier process of this one. It may be
 	// nil.
 	OnDepartures func(held []Departure, knewEarlier bool)
-	Log          log.Interface
-	Seed         uint64
+	// OnStoreEra is called when the node learns of a later era of the store, from
+	// the store or from another node. It may be nil.
+	OnStoreEra func(era int64)
+	Log        log.Interface
+	Seed       uint64
 	// Resources is what the process may use.
 	Resources Resources
 	// Clock includes the time for which the machine was suspended; clock.SinceBoot
@@ -78,6 +81,7 @@
 	retryPolicy   atomic.Pointer[RetryPolicy]
 	announced     atomic.Pointer[announcedState]
 	configReader  atomic.Bool
+	storeEra      atomic.Int64
 	stopping      atomic.Bool
 	shutdown      *shutdown
 	waiting       context.Context // ends when requests may no longer wait for a target
@@ -102,7 +106,7 @@
 	n.gate = admission.NewGate(n.now, admission.DefaultDetectorConfig(), n.statusChanged)
 	n.view = placement.NewView(placement.DefaultConfig(cfg.NodeAddr, cfg.Zone), n.now, cfg.Seed)
 	n.peers = &peers{
-		now: n.now, heartbeat: n.heartbeat, identity: n.identity, view: n.view, calls: newFleetCalls(), log: n.log, metrics: n.metrics, onNewerConfig: n.fetchConfig,
+		now: n.now, heartbeat: n.heartbeat, identity: n.identity, view: n.view, calls: newFleetCalls(), log: n.log, metrics: n.metrics, onNewerConfig: n.fetchConfig, onStoreEra: func(era int64) { n.raiseStoreEra(era) },
 		departures: &ownDepartures{}, onHeld: cfg.OnDepartures,
 		byAddr: map[netip.AddrPort]*peer{}, notify: make(chan scope, notifyQueue), readerChanged: make(chan struct{}, 1),
 	}
@@ -292,6 +296,7 @@
 	m := heartbeat{
 		Flags: flagIf(n.configReader.Load(), flagConfigReader),
 		Addr:  n.cfg.NodeAddr, Gossip: n.cfg.GossipAddr, Zone: n.cfg.Zone, Started: n.wallStart.UnixMilli(),
+		StoreEra: n.storeEra.Load(),
 	}
 	if c := n.config.Load(); c != nil {
 		m.Version = c.Version
@@ -307,6 +312,32 @@
 	return nil
 }
 
+// SetStoreEra states the era of the store in a response that this node received,
+// and tells the other nodes at once if it is a later one. The store begins an era
+// each time it is restored from a copy, and loses what the copy does not have.
+func (n *Node) SetStoreEra(era int64) {
+	if n.raiseStoreEra(era) {
+		n.peers.announce(allZones)
+	}
+}
+
+// StoreEra returns the latest era of the store that this node knows, 0 if none.
+func (n *Node) StoreEra() int64 { return n.storeEra.Load() }
+
+// raiseStoreEra notes an era of the store and reports whether it is a later one.
+func (n *Node) raiseStoreEra(era int64) bool {
+	for known := n.storeEra.Load(); era > known; known = n.storeEra.Load() {
+		if n.storeEra.CompareAndSwap(known, era) {
+			n.log.storeEra(era, known)
+			if n.cfg.OnStoreEra != nil {
+				n.cfg.OnStoreEra(era)
+			}
+			return true
+		}
+	}
+	return false
+}
+
 // SetTarget updates the target beside this node.
 func (n *Node) SetTarget(t admission.Target, addr string, restarted bool) {
 	n.hostNode.setTarget(t, addr, restarted)
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -89,7 +89,9 @@
 	// onNewerConfig is called when a node has a newer configuration than this
 	// one.
 	onNewerConfig func(s versionSource)
-	departures    *ownDepartures
+	// onStoreEra is called with the era of the store that a node knows.
+	onStoreEra func(era int64)
+	departures *ownDepartures
 	// onHeld is called with the departures of this host that another node holds,
 	// and whether that node knew an earlier process of this one. It may be nil.
 	onHeld func(held []Departure, knewEarlier bool)
@@ -414,6 +416,7 @@
 		p.reply(from)
 	}
 	p.acceptHeld(from, msg)
+	p.onStoreEra(msg.StoreEra)
 	if self := p.identity(); msg.Version > self.Version {
 		p.onNewerConfig(versionSource{msg.Version, msg.Zone == self.Zone})
 	}
