mesh: compute a host's statement on retries once

Cause: describe asked twice whether the called services admit retries, and the simulation of the tests computed a node's heartbeat anew for each receiver, where a node sends one to all.

Change: one answer in describe, one heartbeat in the simulation. No decision and no bound changes.

--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -161,8 +161,9 @@
 // describe sets the fields of the status that concern the budget.
 func (b *budget) describe(s *admission.Status) {
 	b.configure()
-	s.AdmitsRetries = b.hasRoom(false) && b.calls.admits(idempotentRuns)
-	s.AdmitsUrgentRetries = b.hasRoom(true) && (b.calls.admits(idempotentRuns) || b.calls.admits(nonIdempotentRuns))
+	callsAdmit := b.calls.admits(idempotentRuns)
+	s.AdmitsRetries = callsAdmit && b.hasRoom(false)
+	s.AdmitsUrgentRetries = b.hasRoom(true) && (callsAdmit || b.calls.admits(nonIdempotentRuns))
 	s.RetryCalls = b.retryCalls()
 }
 
--- a/mesh/simulation_test.go
+++ b/mesh/simulation_test.go
@@ -402,11 +402,12 @@
 	defer tick.Stop()
 	for round := 0; ; round++ {
 		crossZone := round%2 == 0
+		status, calls := n.status(), encodeCalls(n.outboundCalls.share(n.service.name))
 		for _, to := range n.sim.nodes {
 			if (to.zone == n.zone || crossZone) && !n.sim.isCut(n, to) {
-				to.view.Update(placement.Host{Addr: n.addr, Zone: n.zone}, n.status())
+				to.view.Update(placement.Host{Addr: n.addr, Zone: n.zone}, status)
 				if to != n {
-					to.fleetCalls.update(n.addr, n.service.name, decodeCalls(encodeCalls(n.outboundCalls.share(n.service.name))))
+					to.fleetCalls.update(n.addr, n.service.name, decodeCalls(calls))
 				}
 			}
 		}
