admission: a waiter gives way only to a customer behind by half a start

A full line gave a place to any customer that was behind by any fraction of a start. Where a host starts less than one request of a small customer in 10 s, that customer is always behind, so small customers got more than their weight and the largest too little: with 32 targets of one slot the customer of 40% was served 0.66 in place of 0.74, 0.018 above the least that TestEveryCustomerGetsAShare allows, with a standard deviation of 0.015 between runs.

A request now counts half a start of its own when it asks for the place of another customer's waiter.

Measured: TestEveryCustomerGetsAShare/one_slot failed in 3 of 60 runs before and 0 of 99 after; the customer of 40% is 0.052 above the bound, the least margin of any customer is 3.7 standard deviations. The other cases, 20 runs each: none failed. TestPlacesAreNotTakenForAFractionOfAStart fails before.

--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -27,6 +27,11 @@
 	// short for their customers' chance shares, and 3 to 5 percentage points fewer
 	// are served.
 	overShare = 1.2
+	// evictionCost is the part of a start that counts as the request's own when it
+	// asks for another customer's place. With 0 every place goes to whoever is behind
+	// by any fraction of a start: small customers, whose share at one host is less
+	// than a whole start, get more than their weight, the largest less.
+	evictionCost = 0.5
 	// RoutePriorities is the number of priorities of routes within one of
 	// customers: Request.Priority is that of the customer times RoutePriorities,
 	// plus that of the route, which is less.
@@ -188,7 +193,7 @@
 // waiter has the most requests before it, started lately or in line, for the
 // customer's weight. Only waiters of the request's priority or a lower one and
 // before index until leave the line. It returns -1 if none has more before it than
-// the request itself.
+// the request itself, including evictionCost.
 //
 // Requests without a customer, such as calls of targets, keep up to half of the
 // line: they are no single customer's, and a run whose call is refused is lost.
@@ -218,7 +223,7 @@
 	if w.req.Customer == "" && own.waiting+1 > float64(len(q.waiters))/2 {
 		return -1
 	}
-	most, last := (q.usages.of(w.req.Customer, now)+own.waiting)/own.weight, -1
+	most, last := (q.usages.of(w.req.Customer, now)+own.waiting+evictionCost)/own.weight, -1
 	if w.req.Customer == "" {
 		most = 0
 	}
--- a/admission/fairqueue_test.go
+++ b/admission/fairqueue_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Guards against a waiter that gives way to a customer which is behind by less than
+// half a start: small customers then got more than their weight, the largest less.
+func TestPlacesAreNotTakenForAFractionOfAStart(t *testing.T) {
+	for behind, takes := range map[float64]bool{0.3: false, 0.7: true} {
+		q := newQueue()
+		for fromCustomer(&q, "one", 1) {
+		}
+		q.usages.recordStart(Request{Customer: "one"}, 0)
+		q.usages.recordStart(Request{Customer: "other"}, 0)
+		// The last waiter of "one" has its start and the other places before it.
+		q.usages.byCustomer["other"] = usage{float64(len(q.waiters)) - behind, 1}
+		w := newWaiter(Request{Customer: "other", GoodWait: 2 * time.Second, MaxWait: 2 * time.Second}, 0)
+		if got := q.makeRoom(w, 0, pace{perPlace: 100 * ms}) >= 0; got != takes {
+			t.Errorf("customer %v starts behind takes a place: %v, want %v", behind, got, takes)
+		}
+	}
+}
+
 // Guards against a state that grows with every customer ever seen.
 func TestUsagesAreForgotten(t *testing.T) {
 	var u usages
