--- a/mesh/spread_load_test.go
+++ b/mesh/spread_load_test.go
@@ -21,9 +21,8 @@
 
 // Guards against placement that sends much more to some of several equal targets
 // than to others. Requests are added up over the same 10 s of several seeds, since
-// about a hundred at a target vary by a tenth by chance. With eight seeds the count
-// of a target still varies by 2.5%, and the own zone's preference takes 10 of the
-// 20% in the case of uneven zones.
+// about a hundred at a target vary by a tenth by chance. With uneven zones the
+// preference for the own zone takes half of the allowed excess.
 func TestEqualTargetsAreEquallyBusy(t *testing.T) {
 	const seeds, most = 8, 1.2
 	for name, change := range map[string]func(*simulation){
