--- a/review/stand2/downloads.go
+++ b/review/stand2/downloads.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -47,8 +48,7 @@
 	}
 	f.rec.line("before the disruption %d of %d requests were served", served, before)
 	if 4*served < before {
-		f.rec.line("the fleet did not serve before the disruption")
-		return false, nil
+		return false, errors.New("the fleet did not serve before the disruption")
 	}
 	var bundles sync.WaitGroup
 	for range 2 * depotSlots {
