mesh: count refused configurations and log them as errors

A failed fetch from another node was logged under the same words, and a refused one twice.

Change: mesh_config_refused_total counts refused configurations. The log line is an error and names the version that stays in force; a failed fetch has a line of its own. No decision changes.

Result: TestConfigFromPeers asks for the count; TestMetricsPage has the new name.

--- a/mesh/config_test.go
+++ b/mesh/config_test.go
@@ -32,6 +32,9 @@
 	if err := b.SetConfig([]byte("invalid"), "test"); err == nil || b.Config().Version != 5 {
 		t.Errorf("version %d in force after an invalid one, error %v", b.Config().Version, err)
 	}
+	if c, ok := b.metrics.registry.Get(metricConfigsRefused).(gometrics.Counter); !ok || c.Count() != 1 {
+		t.Error("the refused configuration is not counted, so no operator is told of it")
+	}
 }
 
 // Guards against a restarted node that knows no peers although they know it.
--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -10,7 +10,8 @@
 func (n *Node) SetConfig(raw []byte, source string) error {
 	c, err := n.cfg.Decode(raw)
 	if err != nil {
-		n.log.configRefused(0, source, err)
+		n.metrics.count(metricConfigsRefused)
+		n.log.configRefused(n.identity().Version, source, err)
 		return err
 	}
 	n.configMu.Lock()
@@ -52,6 +53,9 @@
 	maxCrossZoneFetchDelay = 850 * time.Millisecond
 	// metricCrossZoneFetches counts configurations fetched from another zone.
 	metricCrossZoneFetches = "mesh_config_far_reads_total"
+	// metricConfigsRefused counts configurations that could not be decoded or are
+	// invalid. The node goes on with the version in force.
+	metricConfigsRefused = "mesh_config_refused_total"
 	// firstFetchDelay replaces the delay while the node has no configuration.
 	firstFetchDelay = 100 * time.Millisecond
 )
@@ -139,10 +143,9 @@
 
 func (n *Node) fetchFrom(addr string) {
 	raw, err := n.remote.fetchConfig(context.Background(), addr)
-	if err == nil {
-		err = n.SetConfig(raw, addr)
-	}
 	if err != nil {
-		n.log.configRefused(0, addr, err)
+		n.log.configNotFetched(n.identity().Version, addr, err)
+		return
 	}
+	_ = n.SetConfig(raw, addr) // counts and logs a refused configuration
 }
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -126,8 +126,13 @@
 	l.log.WithFields(log.Fields{"era": era, "before": before}).Info("era of the store")
 }
 
-func (l *eventLog) configRefused(version int64, source string, err error) {
-	l.log.WithFields(log.Fields{"version": version, "source": source, "error": err.Error()}).Warn("configuration refused")
+// configRefused logs a configuration that replaces none: inForce stays in force.
+func (l *eventLog) configRefused(inForce int64, source string, err error) {
+	l.log.WithFields(log.Fields{"in_force": inForce, "source": source, "error": err.Error()}).Error("configuration refused")
+}
+
+func (l *eventLog) configNotFetched(inForce int64, source string, err error) {
+	l.log.WithFields(log.Fields{"in_force": inForce, "source": source, "error": err.Error()}).Warn("configuration not fetched")
 }
 
 func (l *eventLog) suspended(gap time.Duration) {
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -22,6 +22,7 @@
 	m.queueLeft(admission.TargetEjected)
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
+	m.count(metricConfigsRefused)
 	m.count(metricForeignAnswers)
 	m.count(metricMemoryRevoked)
 	m.count(metricMemoryRefused)
