config/dynamic, platform: weights of a route need not be whole numbers

Cause: weights were decoded into int. The decoder's error is one of the whole text, so one weight kept all of the version out of force. Evidence: the nodes log "configuration refused ... cannot unmarshal number 0.75 into Go struct field .virtual_hosts.paths.weighted_targets.weight of type int".

Change: weights are float64, above 0 and finite. The splitter adds up fractions of the sum of the weights; the largest weight is divided out first, so that the sum of very large ones is finite.

--- a/config/dynamic/config.go
+++ b/config/dynamic/config.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -24,10 +25,11 @@
 	Connections int // connections that one target accepts in total
 }
 
-// Share is the part of a route's requests that goes to one service.
+// Share is the part of a route's requests that goes to one service: Weight
+// divided by the sum of the route's weights. Weights need not be whole numbers.
 type Share struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Route holds the settings for requests to one host name under one path prefix.
@@ -127,8 +129,8 @@
 		if _, ok := c.Services[s.Service]; !ok {
 			return fmt.Errorf("service %q is not defined", s.Service)
 		}
-		if s.Weight <= 0 {
-			return fmt.Errorf("weight %d of service %q is not positive", s.Weight, s.Service)
+		if !(s.Weight > 0) || math.IsInf(s.Weight, 1) { // also refuses NaN
+			return fmt.Errorf("weight %g of service %q is not a positive number", s.Weight, s.Service)
 		}
 	}
 	return nil
--- a/config/dynamic/config_test.go
+++ b/config/dynamic/config_test.go
@@ -1,6 +1,7 @@
 package dynamic
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +60,9 @@
 		"unknown service": func(r *Route) { r.Shares = []Share{{"x", 1}} },
 		"no service":      func(r *Route) { r.Shares = nil },
 		"zero weight":     func(r *Route) { r.Shares = []Share{{"s", 0}} },
+		"negative weight": func(r *Route) { r.Shares = []Share{{"s", -0.5}} },
+		"infinite weight": func(r *Route) { r.Shares = []Share{{"s", math.Inf(1)}} },
+		"not a number":    func(r *Route) { r.Shares = []Share{{"s", math.NaN()}} },
 		"no attempts":     func(r *Route) { r.Attempts = 0 },
 		"no timeout":      func(r *Route) { r.Timeout = 0 },
 		"no final slash":  func(r *Route) { r.Prefix = "/a" },
@@ -79,14 +83,16 @@
 	}
 }
 
-// Guards against a split that deviates from its weights over a few requests.
+// Guards against a split that deviates from its weights over a few requests, also
+// where weights are fractions or differ widely in size from those of other routes.
 func TestSplitterKeepsShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		weights := rapid.SliceOfN(rapid.IntRange(1, 50), 1, 4).Draw(t, "weights")
+		scale := rapid.SampledFrom([]float64{1, 0.01, 1e-300, 3e306}).Draw(t, "scale")
 		var shares []Share
 		total := 0
 		for i, w := range weights {
-			shares = append(shares, Share{string(rune('a' + i)), w})
+			shares = append(shares, Share{string(rune('a' + i)), scale * float64(w)})
 			total += w
 		}
 		r := route("r", "/", shares...)
@@ -96,8 +102,8 @@
 		for range n {
 			got[s.Pick(&r)]++
 		}
-		for _, sh := range shares {
-			want := float64(n*sh.Weight) / float64(total)
+		for i, sh := range shares {
+			want := float64(n*weights[i]) / float64(total)
 			if d := float64(got[sh.Service]) - want; d > float64(len(shares)) || d < -float64(len(shares)) {
 				t.Fatalf("%s got %d of %d requests, want %.1f", sh.Service, got[sh.Service], n, want)
 			}
--- a/config/dynamic/splitter.go
+++ b/config/dynamic/splitter.go
@@ -15,7 +15,8 @@
 // splitState is the weighted round-robin state of one route.
 type splitState struct {
 	shares  []Share
-	current []int // current weight of each share
+	parts   []float64 // fraction of the requests for each share; their sum is 1
+	current []float64 // what each share is owed, in requests
 }
 
 // NewSplitter returns a Splitter that starts at the given offset into the
@@ -40,27 +41,40 @@
 }
 
 func newSplitState(shares []Share, phase int) *splitState {
-	st := &splitState{shares: shares, current: make([]int, len(shares))}
-	total := 0
-	for _, sh := range shares {
-		total += sh.Weight
-	}
-	for range phase % max(1, total) {
+	st := &splitState{shares: shares, parts: fractions(shares), current: make([]float64, len(shares))}
+	for range phase {
 		st.next()
 	}
 	return st
 }
 
+// fractions returns the weights in relation to their sum. They are divided by the
+// largest one first, since the sum of very large weights would be infinite.
+func fractions(shares []Share) []float64 {
+	largest, total := 0.0, 0.0
+	for _, sh := range shares {
+		largest = max(largest, sh.Weight)
+	}
+	parts := make([]float64, len(shares))
+	for i, sh := range shares {
+		parts[i] = sh.Weight / largest
+		total += parts[i]
+	}
+	for i := range parts {
+		parts[i] /= total
+	}
+	return parts
+}
+
 func (st *splitState) next() string {
-	best, total := 0, 0
-	for i, sh := range st.shares {
-		st.current[i] += sh.Weight
-		total += sh.Weight
+	best := 0
+	for i, part := range st.parts {
+		st.current[i] += part
 		if st.current[i] > st.current[best] {
 			best = i
 		}
 	}
-	st.current[best] -= total
+	st.current[best]--
 	return st.shares[best].Service
 }
 
