--- a/mesh/message.go
+++ b/mesh/message.go
@@ -157,12 +157,14 @@
 	h[http.CanonicalHeaderKey(name)] = []string{strconv.FormatInt(max(1, d.Milliseconds()), 10)}
 }
 
+// getMillis returns the milliseconds that a field states, which may have a
+// fraction. It reports false if the field holds no number up to maxDeadline.
 func getMillis(h http.Header, name string) (time.Duration, bool) {
-	n, err := strconv.ParseInt(h.Get(name), 10, 64)
-	if err != nil || n < 0 || n > int64(maxDeadline/time.Millisecond) {
+	n, err := strconv.ParseFloat(h.Get(name), 64)
+	if err != nil || !(n >= 0 && n <= float64(maxDeadline/time.Millisecond)) { // also refuses NaN
 		return 0, false
 	}
-	return time.Duration(n) * time.Millisecond, true
+	return time.Duration(n * float64(time.Millisecond)), true
 }
 
 // maxDeadline bounds the deadlines that callers may request.
