config/dynamic, platform: an empty list of customers requires keys

Cause: whether requests need a key was inferred from the number of customers, so an empty list and a missing one were the same, on arrival and for waiting requests.

--- a/config/dynamic/config.go
+++ b/config/dynamic/config.go
@@ -49,23 +49,25 @@
 
 // Config is one version of the configuration. It is immutable.
 type Config struct {
-	Version    int64
-	Services   map[string]Service
-	Limits     Limits
-	customers  map[keyHash]*Customer
-	routes     map[string]map[string]*Route // by host, then by prefix
-	routeCount int
+	Version      int64
+	Services     map[string]Service
+	Limits       Limits
+	KeysRequired bool // requests need the key of a customer, except on public routes
+	customers    map[keyHash]*Customer
+	routes       map[string]map[string]*Route // by host, then by prefix
+	routeCount   int
 }
 
 // New validates its arguments and returns the configuration. The error joins
 // every problem found; the configuration is nil if there is one.
 // New retains routes and converts their host names to lower case.
-func New(version int64, services []Service, limits Limits, customers []Customer, routes []Route) (*Config, error) {
+func New(version int64, services []Service, limits Limits, customers Customers, routes []Route) (*Config, error) {
 	c := &Config{
-		Version:  version,
-		Services: make(map[string]Service, len(services)),
-		Limits:   limits,
-		routes:   map[string]map[string]*Route{},
+		Version:      version,
+		Services:     make(map[string]Service, len(services)),
+		Limits:       limits,
+		KeysRequired: customers.KeysRequired || len(customers.Accounts) > 0,
+		routes:       map[string]map[string]*Route{},
 	}
 	errs := []error{checkVersionAndLimits(version, limits)}
 	for _, s := range services {
@@ -74,7 +76,7 @@
 		}
 		c.Services[s.Name] = s
 	}
-	errs = append(errs, c.addCustomers(customers))
+	errs = append(errs, c.addCustomers(customers.Accounts))
 	for i := range routes {
 		errs = append(errs, c.addRoute(&routes[i]))
 	}
--- a/config/dynamic/config_test.go
+++ b/config/dynamic/config_test.go
@@ -32,7 +32,7 @@
 				routes = append(routes, route(prefix, prefix))
 			}
 		}
-		c, err := New(1, []Service{{Name: "s"}}, testLimits, nil, routes)
+		c, err := New(1, []Service{{Name: "s"}}, testLimits, Customers{}, routes)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -71,14 +71,14 @@
 	for name, mutate := range cases {
 		r := route("r", "/a/")
 		mutate(&r)
-		if c, err := New(1, services, testLimits, nil, []Route{r}); err == nil || c != nil {
+		if c, err := New(1, services, testLimits, Customers{}, []Route{r}); err == nil || c != nil {
 			t.Errorf("%s: New returned configuration %v, error %v", name, c, err)
 		}
 	}
-	if _, err := New(0, services, testLimits, nil, nil); err == nil {
+	if _, err := New(0, services, testLimits, Customers{}, nil); err == nil {
 		t.Error("version 0 was accepted")
 	}
-	if _, err := New(1, services, testLimits, nil, []Route{route("r", "/a/"), route("q", "/a/")}); err == nil {
+	if _, err := New(1, services, testLimits, Customers{}, []Route{route("r", "/a/"), route("q", "/a/")}); err == nil {
 		t.Error("two routes with the same prefix were accepted")
 	}
 }
--- a/config/dynamic/customer.go
+++ b/config/dynamic/customer.go
@@ -17,6 +17,15 @@
 	defaultWeight float64 // Weight without a quota
 }
 
+// Customers states who may send requests.
+type Customers struct {
+	// KeysRequired is set if requests need the key of a customer, except on public
+	// routes. Without customers no key is valid then, as after the withdrawal of the
+	// last one. Accounts imply it.
+	KeysRequired bool
+	Accounts     []Customer
+}
+
 // Weight returns the customer's share of a service that has too little room, in
 // relation to those of other customers of the configuration: the rate of its
 // quota, which tells a large customer from one that floods. Without a quota it is
@@ -63,9 +72,6 @@
 // addCustomers validates the customers and indexes them by their keys. Key
 // values do not appear in errors, since these are logged.
 func (c *Config) addCustomers(customers []Customer) error {
-	if len(customers) == 0 {
-		return nil
-	}
 	c.customers = make(map[keyHash]*Customer, len(customers))
 	names := make(map[string]bool, len(customers))
 	defaultWeight := medianRate(customers)
@@ -106,12 +112,9 @@
 	return nil
 }
 
-// HasCustomers reports whether callers identify themselves by keys.
-func (c *Config) HasCustomers() bool { return c.customers != nil }
-
 // Customer returns the customer that holds the key, or nil.
 func (c *Config) Customer(key string) *Customer {
-	if key == "" || c.customers == nil {
+	if key == "" {
 		return nil
 	}
 	return c.customers[hashKey(key)]
--- a/config/dynamic/customer_test.go
+++ b/config/dynamic/customer_test.go
@@ -11,7 +11,7 @@
 			name := string(rune('a' + i))
 			customers = append(customers, Customer{Name: name, Keys: []string{name}, Quota: Quota{PerSecond: rate}})
 		}
-		c, err := New(1, []Service{{Name: "s"}}, testLimits, customers, nil)
+		c, err := New(1, []Service{{Name: "s"}}, testLimits, Customers{KeysRequired: true, Accounts: customers}, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/mesh/customer.go
+++ b/mesh/customer.go
@@ -40,7 +40,7 @@
 // refused as not run rather than as unauthorized if one has a newer version or
 // none answers.
 func (e *entryNode) identify(r *http.Request, cfg *dynamic.Config, route *dynamic.Route) (*dynamic.Customer, error) {
-	if !cfg.HasCustomers() {
+	if !cfg.KeysRequired {
 		return nil, nil
 	}
 	key := r.Header.Get(e.headers.Key)
@@ -71,7 +71,7 @@
 		return notRun(resultcode.StaleConfiguration, "process was suspended while the request waited, and no other node has confirmed the version since")
 	}
 	cfg := e.config()
-	if cfg.Version == version || !cfg.HasCustomers() {
+	if cfg.Version == version || !cfg.KeysRequired {
 		return nil
 	}
 	if holder := cfg.Customer(key); holder != nil && holder.Name == q.customer.Name {
--- a/mesh/customer_test.go
+++ b/mesh/customer_test.go
@@ -27,26 +27,30 @@
 )
 
 // decodeCustomers reads a version number, the requests per second of a
-// customer's quota, which is also its burst, and the keys of customer "c".
+// customer's quota, which is also its burst, and the keys of customer "c". A
+// version number alone stands for an empty list of customers.
 func decodeCustomers(raw []byte) (*dynamic.Config, error) {
 	fields := strings.Fields(string(raw))
 	version, err := strconv.ParseInt(fields[0], 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	perSecond, err := strconv.ParseFloat(fields[1], 64)
-	if err != nil {
-		return nil, err
-	}
 	route := func(name string, public bool) dynamic.Route {
 		return dynamic.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Idempotent: true, Public: public, Timeout: 5 * time.Second,
 			Objective: 5 * time.Second, Attempts: 2, Shares: []dynamic.Share{{Service: testService, Weight: 1}},
 		}
 	}
-	customers := []dynamic.Customer{
-		{Name: "c", Keys: fields[2:], Quota: dynamic.Quota{PerSecond: perSecond, Burst: perSecond}},
-		{Name: "other", Keys: []string{"key of another"}},
+	customers := dynamic.Customers{KeysRequired: true}
+	if len(fields) > 1 {
+		perSecond, err := strconv.ParseFloat(fields[1], 64)
+		if err != nil {
+			return nil, err
+		}
+		customers.Accounts = []dynamic.Customer{
+			{Name: "c", Keys: fields[2:], Quota: dynamic.Quota{PerSecond: perSecond, Burst: perSecond}},
+			{Name: "other", Keys: []string{"key of another"}},
+		}
 	}
 	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, customers, []dynamic.Route{route("read", false), route("public", true)})
 }
@@ -59,7 +63,8 @@
 
 // Guards against a key that reaches a target or the log, a customer's name that
 // the caller chose, and a key that still works once a version has withdrawn it,
-// also on a connection that was in use before.
+// also on a connection that was in use before, and if it was the last customer's:
+// the empty list then let every key in, and callers without one.
 func TestKeys(t *testing.T) {
 	g := startTarget(t, "t")
 	var customer, key atomic.Pointer[string]
@@ -102,6 +107,11 @@
 	setConfig(t, "2 0 another", n)
 	expect("withdrawn key", request("/read/1", "secret"), 401, "")
 	expect("new key", request("/read/1", "another"), 200, "c")
+	setConfig(t, "3", n)
+	for _, key := range []string{"another", "guess", ""} {
+		expect("no customer is left, key "+key, request("/read/1", key), 401, "")
+	}
+	expect("public route, no customer is left", request("/public/1", "another"), 200, "")
 	for _, s := range []string{"secret", "guess", "another"} {
 		if strings.Contains(logged.String(), s) {
 			t.Errorf("the log contains key %q", s)
@@ -145,13 +155,15 @@
 func TestKeyWithdrawnInQueue(t *testing.T) {
 	for name, test := range map[string]struct {
 		path      string
+		next      string // configuration that withdraws the key
 		suspended bool
 		statuses  []int // that the waiting request may get
 		runs      bool
 	}{
-		"route with keys":     {"/read/1", false, []int{401}, false},
-		"public route":        {"/public/1", false, []int{200}, true},
-		"during a suspension": {"/read/1", true, []int{503, 401}, false},
+		"route with keys":     {"/read/1", "2 0 another", false, []int{401}, false},
+		"no customer is left": {"/read/1", "2", false, []int{401}, false},
+		"public route":        {"/public/1", "2 0 another", false, []int{200}, true},
+		"during a suspension": {"/read/1", "2 0 another", true, []int{503, 401}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := startTarget(t, "t")
@@ -183,7 +195,7 @@
 			if test.suspended {
 				suspended.Store(int64(suspensionGap + 500*time.Millisecond))
 			}
-			setConfig(t, "2 0 another", withdraws)
+			setConfig(t, test.next, withdraws)
 			close(release)
 			wait.Wait()
 			if ran := g.runCount("waiting") != 0; ran != test.runs {
--- a/mesh/fixture_test.go
+++ b/mesh/fixture_test.go
@@ -51,7 +51,7 @@
 			Shares: []dynamic.Share{{Service: testService, Weight: 1}},
 		})
 	}
-	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, nil, routes)
+	return dynamic.New(version, []dynamic.Service{{Name: testService}}, defaultLimits, dynamic.Customers{}, routes)
 }
 
 // stubTarget is a target whose response to each request is set by the test.
