upstream: a reset met by a write of the request does not end a response

Callers saw: the part of a body that an instance had sent before it reset the connection, as a complete 200, if the response had no length and the upload was still being written (reported by the operators, MIXED).

Cause: the system reports a reset once. A blocked write of the request took the error, and the read of the response met what looks like an orderly close, which ends a body without a length. The error of the write was used only if a read had failed as well.

Change: the end of the connection ends a body only once the whole request has been written without an error. The read waits for that, at most until the context ends.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -161,7 +161,7 @@
 		return nil, x.preferSendError(err)
 	}
 	x.conn.keepAlive = keepAliveTimeout(resp.Header)
-	resp.Body = &body{x: x, rc: resp.Body, empty: resp.Body == http.NoBody, reuse: !resp.Close && !x.mismatched}
+	resp.Body = &body{x: x, rc: resp.Body, empty: resp.Body == http.NoBody, unframed: isUnframed(resp), reuse: !resp.Close && !x.mismatched}
 	return resp, nil
 }
 
@@ -181,6 +181,24 @@
 	}
 }
 
+// isUnframed reports whether only the end of its connection ends a response.
+func isUnframed(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// confirmEnd returns an error unless the end of the connection was an orderly one.
+// The system reports a reset once, to whichever of a write and a read is first. If
+// that is a write of the request, the read meets the same end as after an orderly
+// close. So the end counts only if the whole request was sent, for which confirmEnd
+// waits, at most until the context ends.
+func (x *exchange) confirmEnd() error {
+	<-x.sendDone
+	if x.sendErr != nil {
+		return fmt.Errorf("%w: connection ended while the request was sent: %v", io.ErrUnexpectedEOF, x.sendErr)
+	}
+	return nil
+}
+
 // preferSendError returns the error of sending, if there is one, in place of the
 // error of receiving, since it is usually the cause.
 func (x *exchange) preferSendError(err error) error {
@@ -295,10 +313,11 @@
 
 // body is a response body that ends the exchange once it is read or closed.
 type body struct {
-	x     *exchange
-	rc    io.ReadCloser
-	empty bool
-	reuse bool // the connection may be reused after a complete response
+	x        *exchange
+	rc       io.ReadCloser
+	empty    bool
+	unframed bool // the end of the connection ends the body
+	reuse    bool // the connection may be reused after a complete response
 }
 
 // Read implements io.Reader. A truncated body returns io.ErrUnexpectedEOF.
@@ -310,6 +329,11 @@
 		b.x.gate.open()
 	}
 	n, err := b.rc.Read(p)
+	if err == io.EOF && b.unframed {
+		if endErr := b.x.confirmEnd(); endErr != nil {
+			err = endErr
+		}
+	}
 	if err != nil {
 		b.x.finish(err == io.EOF && b.reuse)
 	}
