upstream: refuse responses whose status line is none of HTTP/1

The operators named status 000 on other systems; here it got 502 before this change, on both hops.

Cause: net/http accepts any version and any three digits and does not look at the reason phrase.

Change: each head, informational ones too, has to be HTTP/1 with a status code of 100 to 599 and a reason phrase without control bytes.

Result: without the change TestInvalidStatusLines fails for six lines, and TestInvalidAnswers for status 600 in all four cases (both hops, bodies sent at once and streamed: "the caller got status 600"); its cases of status 000 pass either way.

--- a/mesh/brokenanswer_test.go
+++ b/mesh/brokenanswer_test.go
@@ -108,3 +108,37 @@
 		}
 	}
 }
+
+// Guards against bytes of a target that are no response in the protocol and that a
+// caller gets as one, with the status, a field or a body that the target did not
+// state. The tests of upstream have more of them.
+func TestInvalidAnswers(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	invalid := func(old, text string) string { return strings.Replace(valid, old, text, 1) + "\r\n" }
+	for name, test := range map[string]struct {
+		text   string
+		status int
+	}{
+		"valid":      {valid + "X-Other: o\r\n\r\n", http.StatusOK},
+		"status 000": {invalid("200", "000"), http.StatusBadGateway},
+		"status 600": {invalid("200", "600"), http.StatusBadGateway},
+	} {
+		for _, path := range orderPaths {
+			for _, upload := range []string{"small body", "streamed"} {
+				t.Run(strings.Join([]string{name, path, upload}, ", "), func(t *testing.T) {
+					t.Parallel()
+					orders := startHeadTarget(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body)
+						fmt.Fprintf(c, test.text, r.Header.Get("X-Id"))
+						c.Close()
+					})
+					entry, _ := startPath(t, path, orders.addr)
+					status, body, err := sendUpload(t, entry, uploads[upload].length, false)
+					if status != test.status || err != nil || status == http.StatusOK && body != "body" {
+						t.Errorf("the caller got status %d, body %q, error %v; want status %d", status, body, err, test.status)
+					}
+				})
+			}
+		}
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -21,7 +21,6 @@
 )
 
 var (
-	errStatus        = errors.New("status code is below 100")
 	errSwitching     = errors.New("server switched protocols")
 	errInformational = errors.New("too many 1xx responses")
 	errAborted       = errors.New("exchange ended before the request was sent")
@@ -257,9 +256,10 @@
 			return nil, shortened(unexpectedEOF(err))
 		}
 		x.conn.header.end()
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		switch {
-		case resp.StatusCode < http.StatusContinue:
-			return nil, errStatus
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitching
 		case resp.StatusCode >= 200:
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,26 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxStatus is the highest status code of the protocol.
+const maxStatus = 599
+
+// checkHead returns an error for a head that http.ReadResponse accepts although it
+// is none of HTTP/1. Bytes of a faulty server are no response, even where a part
+// of them reads like one.
+func checkHead(r *http.Response) error {
+	switch {
+	case r.ProtoMajor != 1:
+		return fmt.Errorf("response of protocol version %q, want HTTP/1", r.Proto)
+	case r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus:
+		return fmt.Errorf("status code %d is not between %d and %d", r.StatusCode, http.StatusContinue, maxStatus)
+	case !httpguts.ValidHeaderFieldValue(r.Status):
+		return fmt.Errorf("status line %q has a control byte", r.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/head_test.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// fetch returns the body of the response that a server sends as text.
+func fetch(t *testing.T, text string) (string, error) {
+	t.Helper()
+	addr := serve(t, func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	})
+	resp, err := NewClient(Config{}).Do(t.Context(), addr, request(http.MethodGet, nil), Options{})
+	if err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+// Guards against a status line of a faulty server that counts as one of a response.
+func TestInvalidStatusLines(t *testing.T) {
+	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 599", "HTTP/1.1 404 Not\tFound"} {
+		if b, err := fetch(t, line+rest); b != "body" || err != nil {
+			t.Errorf("%q: body %q, error %v", line, b, err)
+		}
+	}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK",
+		"HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", "200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x00K", "HTTP/1.1",
+	} {
+		if b, err := fetch(t, line+rest); err == nil {
+			t.Errorf("%q: accepted with body %q", line, b)
+		}
+	}
+	if b, err := fetch(t, "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK"+rest); err == nil || !strings.Contains(err.Error(), "99") {
+		t.Errorf("body %q, error %v after a head with an invalid status", b, err)
+	}
+}
