upstream: refuse responses with an invalid field name, in trailers too

Callers would see: with "Content-Length : 2" or "Transfer-Encoding : chunked" in the head of an instance in trouble, all bytes until the end of the connection as the body of a 200; with another such name an answer without that field (MIXED, named by the operators for other systems).

Cause: net/http refuses every invalid byte in a field name but the blank, and then finds no meaning in the field. upstream did not look at names. Evidence: the caller got the body "4\r\nbody\r\n0\r\n\r\n" on both hops.

Change: the names of each head, informational ones too, are checked, and those of a trailer at the end of the body, which is not complete if one is invalid. Names with control bytes were refused before, by net/http.

Result: without the change TestInvalidFieldNames fails for blanks in all five places and for both framing fields, TestInvalidAnswers in twelve of twelve cases with a blank (both hops, bodies sent at once and streamed); they pass with it.

--- a/mesh/brokenanswer_test.go
+++ b/mesh/brokenanswer_test.go
@@ -119,9 +119,13 @@
 		text   string
 		status int
 	}{
-		"valid":      {valid + "X-Other: o\r\n\r\n", http.StatusOK},
-		"status 000": {invalid("200", "000"), http.StatusBadGateway},
-		"status 600": {invalid("200", "600"), http.StatusBadGateway},
+		"valid":              {valid + "X-Other: o\r\n\r\n", http.StatusOK},
+		"status 000":         {invalid("200", "000"), http.StatusBadGateway},
+		"status 600":         {invalid("200", "600"), http.StatusBadGateway},
+		"blank before colon": {invalid("X-Sig: s", "X-Sig: s\r\nX-Other : o"), http.StatusBadGateway},
+		"blank after coding": {invalid("Encoding:", "Encoding :"), http.StatusBadGateway},
+		"control byte":       {invalid("X-Sig: s", "X-Sig: s\r\nX\x01Other: o"), http.StatusBadGateway},
+		"blank in trailer":   {valid + "X-Other : o\r\n\r\n", http.StatusBadGateway},
 	} {
 		for _, path := range orderPaths {
 			for _, upload := range []string{"small body", "streamed"} {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -160,7 +160,7 @@
 		return nil, x.preferSendError(err)
 	}
 	x.conn.keepAlive = keepAliveTimeout(resp.Header)
-	resp.Body = &body{x: x, rc: resp.Body, empty: resp.Body == http.NoBody, unframed: isUnframed(resp), reuse: !resp.Close && !x.mismatched}
+	resp.Body = &body{x: x, resp: resp, rc: resp.Body, empty: resp.Body == http.NoBody, unframed: isUnframed(resp), reuse: !resp.Close && !x.mismatched}
 	return resp, nil
 }
 
@@ -314,6 +314,7 @@
 // body is a response body that ends the exchange once it is read or closed.
 type body struct {
 	x        *exchange
+	resp     *http.Response // for its trailer, which is complete at the end of rc
 	rc       io.ReadCloser
 	empty    bool
 	unframed bool // the end of the connection ends the body
@@ -329,10 +330,8 @@
 		b.x.gate.open()
 	}
 	n, err := b.rc.Read(p)
-	if err == io.EOF && b.unframed {
-		if endErr := b.x.confirmEnd(); endErr != nil {
-			err = endErr
-		}
+	if err == io.EOF {
+		err = b.checkEnd()
 	}
 	if err != nil {
 		b.x.finish(err == io.EOF && b.reuse)
@@ -343,6 +342,19 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body is complete.
+func (b *body) checkEnd() error {
+	if b.unframed {
+		if err := b.x.confirmEnd(); err != nil {
+			return err
+		}
+	}
+	if err := checkFieldNames(b.resp.Trailer); err != nil {
+		return fmt.Errorf("trailer: %w", err)
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. If the body was not read to its end, Close closes
 // the connection, which cancels the request at the server.
 func (b *body) Close() error {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -22,5 +22,17 @@
 	case !httpguts.ValidHeaderFieldValue(r.Status):
 		return fmt.Errorf("status line %q has a control byte", r.Status)
 	}
+	return checkFieldNames(r.Header)
+}
+
+// checkFieldNames returns an error for a field whose name has a byte that no name
+// may have. net/http accepts blanks there and finds no meaning in such a field: a
+// body would not end where a "Content-Length " states.
+func checkFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("invalid field name %q", name)
+		}
+	}
 	return nil
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -45,3 +45,39 @@
 		t.Errorf("body %q, error %v after a head with an invalid status", b, err)
 	}
 }
+
+// Guards against a field whose name has a blank or another byte that no name may
+// have, and that is passed on, or whose meaning for the body is ignored.
+func TestInvalidFieldNames(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n"
+		length  = "Content-Length: 4\r\n\r\nbody"
+		chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	)
+	for _, text := range []string{head + "X-Other:o\r\n" + length, head + "X!#$%&'*+-.^_`|~0: o\r\n" + length, head + chunked + "X-Other: o\r\n\r\n"} {
+		if b, err := fetch(t, text); b != "body" || err != nil {
+			t.Errorf("%q: body %q, error %v", text, b, err)
+		}
+	}
+	for _, name := range []string{"X-Other ", "X Other", " X-Other", "X\tOther", "X-Other\t", "X\x00", "X\x01Other", "X\x7f", "X\xe9", "X(Other)", "X\"", ""} {
+		for place, text := range map[string]string{
+			"first field":      head + name + ": o\r\n" + length,
+			"last field":       head + "Content-Length: 4\r\n" + name + ": o\r\n\r\nbody",
+			"early hints":      "HTTP/1.1 103 Early\r\n" + name + ": o\r\n\r\n" + head + length,
+			"trailer":          head + chunked + name + ": o\r\n\r\n",
+			"announced, chunk": head + "Trailer: X-Other\r\n" + chunked + name + ": o\r\n\r\n",
+		} {
+			if b, err := fetch(t, text); err == nil {
+				t.Errorf("%s %q: accepted with body %q", place, name, b)
+			}
+		}
+	}
+	for _, text := range []string{
+		head + "Content-Length : 2\r\n\r\nbody", head + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		head + chunked + "X-Other: o\r\n", head + chunked + "X-Other: \x01\r\n\r\n", head + chunked,
+	} {
+		if b, err := fetch(t, text); err == nil {
+			t.Errorf("%q: accepted with body %q", text, b)
+		}
+	}
+}
