upstream: refuse a transfer coding in a response of HTTP/1.0

Cause: HTTP/1.0 has no transfer codings, so net/http removes the field from such a head and takes all bytes until the end of the connection, or the stated length, for the body. After that nothing shows that the field was there.

Change: the limiter of header sections, which sees the lines, notes the field, and such a response is refused.

Result: without the check TestTransferCodingOfHTTP10 gets "4\r\nbody\r\n0\r\n\r\n" as a body; it passes with it, also where the head arrives byte by byte.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -97,13 +98,20 @@
 	return c.writeFailed || c.writesEnded
 }
 
-// headerLimiter bounds the bytes and lines of a header section while it is read.
+// codingField is the start of a line that states a transfer coding.
+const codingField = "Transfer-Encoding:"
+
+// headerLimiter bounds the bytes and lines of a header section while it is read,
+// and tells what http.ReadResponse leaves out.
 type headerLimiter struct {
 	r         io.Reader
 	limits    HeaderLimits
 	parsing   bool // a header section is being parsed
 	complete  bool // the empty line at its end has been read
 	lineEmpty bool // the current line has no byte yet except for carriage returns
+	lineStart [len(codingField)]byte
+	lineBytes int  // of the current line
+	coded     bool // a field states a transfer coding
 	lines     int
 	bytes     int
 	exceeded  error // the limit that the header section exceeds; nil if none
@@ -127,6 +135,7 @@
 // begin starts a header section, of which buffered has been read before.
 func (h *headerLimiter) begin(buffered []byte) {
 	h.parsing, h.complete, h.lineEmpty, h.lines, h.bytes = true, false, true, 0, 0
+	h.lineBytes, h.coded = 0, false
 	h.count(buffered)
 }
 
@@ -144,6 +153,12 @@
 			return
 		}
 		h.lineEmpty = h.lineEmpty && len(bytes.Trim(line, "\r")) == 0
+		if h.lineBytes < len(codingField) {
+			copy(h.lineStart[h.lineBytes:], line)
+		}
+		if h.lineBytes += len(line); h.lineBytes >= len(codingField) {
+			h.coded = h.coded || strings.EqualFold(string(h.lineStart[:]), codingField)
+		}
 		if !lineComplete {
 			return
 		}
@@ -152,7 +167,7 @@
 			return
 		}
 		h.complete = h.lineEmpty
-		b, h.lineEmpty = rest, true
+		b, h.lineEmpty, h.lineBytes = rest, true, 0
 	}
 }
 
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -12,11 +12,14 @@
 
 // checkHead returns an error for a head that http.ReadResponse accepts although it
 // is none of HTTP/1. Bytes of a faulty server are no response, even where a part
-// of them reads like one.
-func checkHead(r *http.Response) error {
+// of them reads like one. coded states that a field names a transfer coding, which
+// HTTP/1.0 does not have: its lengths would be taken for a part of the body.
+func checkHead(r *http.Response, coded bool) error {
 	switch {
 	case r.ProtoMajor != 1:
 		return fmt.Errorf("response of protocol version %q, want HTTP/1", r.Proto)
+	case coded && r.ProtoMinor == 0:
+		return fmt.Errorf("response of protocol version %q with a transfer coding", r.Proto)
 	case r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus:
 		return fmt.Errorf("status code %d is not between %d and %d", r.StatusCode, http.StatusContinue, maxStatus)
 	case !httpguts.ValidHeaderFieldValue(r.Status):
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -81,3 +82,40 @@
 		}
 	}
 }
+
+func dialOneByte(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	return &oneByteConn{Conn: c}, err
+}
+
+// Guards against the lengths of chunks in a body: HTTP/1.0 has no transfer codings,
+// so net/http leaves the field out. The field may arrive in pieces.
+func TestTransferCodingOfHTTP10(t *testing.T) {
+	const body = "\r\n4\r\nbody\r\n0\r\n\r\n"
+	for text, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + body:                       "body",
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n" + body:                      body[2:],
+		"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n" + body:                    body[2:],
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + body:                       "",
+		"HTTP/1.0 200 OK\r\nX: o\r\ntransfer-encoding:chunked\r\n" + body:                "",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: x\r\nContent-Length: 4\r\n\r\nbody":       "",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nX: o\r\nX-Other: o\r\n" + body: "",
+	} {
+		addr := serve(t, func(c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+		})
+		for name, cfg := range map[string]Config{"at once": {}, "in bytes": {Dial: dialOneByte}} {
+			resp, err := NewClient(cfg).Do(t.Context(), addr, request(http.MethodGet, nil), Options{})
+			var got []byte
+			if err == nil {
+				got, err = io.ReadAll(resp.Body)
+			}
+			if string(got) != want || (err == nil) != (want != "") {
+				t.Errorf("%q %s: body %q, error %v, want %q", text, name, got, err, want)
+			}
+		}
+	}
+}
