mesh: a response that is cut does not look complete to a caller of HTTP/1.0

Found by looking for bodies that end with their connection where nodes write; nobody has reported it.

Cause: such a caller gets no chunks, so the end of the connection ends the body, and the node closed the connection in good order after it gave up the response.

Change: the connection is reset then. Callers of HTTP/1.1 see an unfinished body as before.

--- a/limits/connguard.go
+++ b/limits/connguard.go
@@ -251,6 +251,14 @@
 	return nil
 }
 
+// ResetOnClose makes Close reset the connection, so that its end does not look like
+// an orderly one. Bytes that the peer has not read yet are lost.
+func (c *GuardedConn) ResetOnClose() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0) // fails if the connection is closed
+	}
+}
+
 // Close closes the connection.
 func (c *GuardedConn) Close() error {
 	c.once.Do(func() {
--- a/mesh/brokenanswer_test.go
+++ b/mesh/brokenanswer_test.go
@@ -146,3 +146,33 @@
 		}
 	}
 }
+
+// Guards against a response that ends early and looks complete to a caller of
+// HTTP/1.0, for which only the end of the connection ends a body without a length.
+func TestResponseCutForHTTP10(t *testing.T) {
+	for _, path := range orderPaths {
+		t.Run(path, func(t *testing.T) {
+			for _, whole := range []bool{true, false} {
+				orders := startHeadTarget(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("X-Id"), 2*maxBuffered, make([]byte, 2*maxBuffered))
+					if whole {
+						_, _ = io.WriteString(c, "0\r\n\r\n")
+					}
+					c.Close()
+				})
+				entry, _ := startPath(t, path, orders.addr)
+				c := dialCaller(t, entry)
+				_ = c.SetReadDeadline(time.Now().Add(waitLimit))
+				fmt.Fprint(c, "POST /order/1 HTTP/1.0\r\nHost: h.example\r\nX-Id: x\r\nContent-Length: 0\r\n\r\n")
+				r, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				n, err := io.Copy(io.Discard, r.Body)
+				if (err == nil) != whole || r.StatusCode != http.StatusOK || whole && n != 2*maxBuffered {
+					t.Errorf("status %d, %d bytes, error %v; the response is whole: %v", r.StatusCode, n, err, whole)
+				}
+			}
+		})
+	}
+}
--- a/mesh/response.go
+++ b/mesh/response.go
@@ -12,10 +12,20 @@
 // that the response is incomplete, so the connection must be aborted. A reader
 // that does not keep up may lose the response when memory is short.
 func writeResponse(w http.ResponseWriter, r *http.Request, resp *response) error {
-	method := r.Method
-	if c := limits.ConnOf(r.Context()); c != nil {
+	c := limits.ConnOf(r.Context())
+	if c != nil {
 		resp.account.SetTransfer(c.WriteLag(), c.Cut)
 	}
+	err := writeHeadAndBody(w, r.Method, resp)
+	if err != nil && c != nil && !r.ProtoAtLeast(1, 1) {
+		// A body without a length ends with the connection, since HTTP/1.0 has no
+		// chunks. An orderly close would make the part that was sent a whole.
+		c.ResetOnClose()
+	}
+	return err
+}
+
+func writeHeadAndBody(w http.ResponseWriter, method string, resp *response) error {
 	h := w.Header()
 	addFields(h, resp.header)
 	hasBody := method != http.MethodHead && resp.status != http.StatusNoContent && resp.status != http.StatusNotModified
