mesh: the fuzz test of targets' responses reads heads strictly

Change: the check matches each head with a pattern of its own, refuses a transfer coding in HTTP/1.0 and checks the names of trailers. It refuses all that it refused before. Seeds for each kind.

--- a/mesh/requestfuzz_test.go
+++ b/mesh/requestfuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -209,6 +210,9 @@
 		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
 		head + "\r\nbody", "HTTP/1.1 100 C\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 X\r\nX-Id: a\r\nX-Sig: s\r\n\r\n",
+		head + "X Y: o\r\nContent-Length: 4\r\n\r\nbody", head + "Content-Length : 2\r\n\r\nbody", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-T : t\r\n\r\n",
+		"HTTP/1.1 000 X" + head[14:] + "\r\n", "HTTP/1.1 999 X" + head[14:] + "\r\n", "HTTP/2.0" + head[8:] + "\r\n", "HTTP/1.0" + head[8:] + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 103 X\r\nX : o\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -260,19 +264,38 @@
 	})
 }
 
+// strictHead matches a head of HTTP/1 and captures its minor version. net/http
+// accepts other versions, status codes and field names too.
+var strictHead = regexp.MustCompile(`^HTTP/1\.([0-9]) +[1-5][0-9][0-9](?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n(?:[!#$%&'*+\-.^_|~0-9A-Za-z` + "`" + `]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n(?:[ \t][^\x00-\x08\x0a-\x1f\x7f]*\r?\n)*)*\r?\n`)
+
+var (
+	transferCoding = regexp.MustCompile(`(?i)\ntransfer-encoding:`)
+	fieldName      = regexp.MustCompile("^[!#$%&'*+\\-.^_`|~0-9A-Za-z]+$")
+)
+
 // mayBeWhole reports whether a strict reader finds a whole response with this
-// status and body in raw.
+// status and body in raw, after heads that are as valid as its own.
 func mayBeWhole(raw []byte, status int, body []byte) bool {
-	br := bufio.NewReader(bytes.NewReader(raw))
 	for range 12 {
+		head := strictHead.FindSubmatch(raw)
+		if head == nil || string(head[1]) == "0" && transferCoding.Match(head[0]) {
+			return false
+		}
+		br := bufio.NewReader(bytes.NewReader(raw))
 		r, err := http.ReadResponse(br, nil)
 		if err != nil {
 			return false
 		}
 		got, err := io.ReadAll(r.Body)
+		for name := range r.Trailer {
+			if !fieldName.MatchString(name) {
+				return false
+			}
+		}
 		if err == nil && r.StatusCode == status && bytes.Equal(got, body) {
 			return true
 		}
+		raw, _ = io.ReadAll(br)
 	}
 	return false
 }
