--- a/mesh/brokenanswer_test.go
+++ b/mesh/brokenanswer_test.go
@@ -14,7 +14,8 @@
 	"hyssopbridge/upstream"
 )
 
-// uploads are bodies that a node sends whole, and while it receives them.
+// uploads are bodies that a node reads to their end before it sends them, or sends
+// while it receives them.
 var uploads = map[string]struct {
 	length  int
 	chunked bool
@@ -87,8 +88,8 @@
 	}
 }
 
-// Guards against a response that a node does not take because the target had not
-// read the request when it began to answer: this one is whole.
+// Guards against the loss of a whole response without a length that a target begins
+// before it has read the upload.
 func TestUnframedAnswerToUpload(t *testing.T) {
 	for _, path := range orderPaths {
 		for name, upload := range uploads {
@@ -109,9 +110,9 @@
 	}
 }
 
-// Guards against bytes of a target that are no response in the protocol and that a
-// caller gets as one, with the status, a field or a body that the target did not
-// state. The tests of upstream have more of them.
+// Guards against an invalid response of a target that reaches the caller, with a
+// status or field that HTTP/1 does not allow or with another body than the target's.
+// The tests of package upstream cover more of them.
 func TestInvalidAnswers(t *testing.T) {
 	const valid = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
 	invalid := func(old, text string) string { return strings.Replace(valid, old, text, 1) + "\r\n" }
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -126,7 +126,8 @@
 	l.log.WithFields(log.Fields{"era": era, "before": before}).Info("era of the store")
 }
 
-// configRefused logs a configuration that replaces none: inForce stays in force.
+// configRefused logs a configuration that was not accepted; version inForce stays
+// in force.
 func (l *eventLog) configRefused(inForce int64, source string, err error) {
 	l.log.WithFields(log.Fields{"in_force": inForce, "source": source, "error": err.Error()}).Error("configuration refused")
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -185,11 +185,10 @@
 	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
-// confirmEnd returns an error unless the end of the connection was an orderly one.
-// The system reports a reset once, to whichever of a write and a read is first. If
-// that is a write of the request, the read meets the same end as after an orderly
-// close. So the end counts only if the whole request was sent, for which confirmEnd
-// waits, at most until the context ends.
+// confirmEnd returns an error if a reset may have ended the connection. The system
+// reports a reset only once, to a read or a write. After a write of the request got
+// the error, reads return io.EOF as after an orderly close. confirmEnd therefore
+// waits until the request has been sent, at most until the context ends.
 func (x *exchange) confirmEnd() error {
 	<-x.sendDone
 	if x.sendErr != nil {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -10,10 +10,9 @@
 // maxStatus is the highest status code of the protocol.
 const maxStatus = 599
 
-// checkHead returns an error for a head that http.ReadResponse accepts although it
-// is none of HTTP/1. Bytes of a faulty server are no response, even where a part
-// of them reads like one. coded states that a field names a transfer coding, which
-// HTTP/1.0 does not have: its lengths would be taken for a part of the body.
+// checkHead returns an error for a head that http.ReadResponse accepts although
+// HTTP/1 does not allow it. coded is set if a field states a transfer coding.
+// HTTP/1.0 has none: the sizes of the chunks would be taken for a part of the body.
 func checkHead(r *http.Response, coded bool) error {
 	switch {
 	case r.ProtoMajor != 1:
@@ -29,8 +28,8 @@
 }
 
 // checkFieldNames returns an error for a field whose name has a byte that no name
-// may have. net/http accepts blanks there and finds no meaning in such a field: a
-// body would not end where a "Content-Length " states.
+// may have. net/http accepts blanks there and then does not recognize the field, so
+// the body of a response with "Content-Length : 2" would not end after 2 bytes.
 func checkFieldNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
