upstream: refuse responses with a line that begins with a blank

Found by reading, after the invalid field names; nobody has reported it.

Cause: older versions of HTTP/1 let a line that begins with a blank continue the one before it, and net/http still joins them. RFC 9112 forbids senders to do so, and lets a proxy answer 502.

Change: the limiter of header sections notes such a line, and the head is refused.

Result: without the check TestInvalidFieldNames fails for a blank and a tab after a field, TestInvalidAnswers in four of four cases (both hops, bodies sent at once and streamed), and one seed of FuzzTargetResponse, whose pattern no longer allows such lines; all pass with it.

--- a/mesh/brokenanswer_test.go
+++ b/mesh/brokenanswer_test.go
@@ -124,6 +124,7 @@
 		"status 000":         {invalid("200", "000"), http.StatusBadGateway},
 		"status 600":         {invalid("200", "600"), http.StatusBadGateway},
 		"blank before colon": {invalid("X-Sig: s", "X-Sig: s\r\nX-Other : o"), http.StatusBadGateway},
+		"blank before name":  {invalid("X-Sig: s", "X-Sig: s\r\n X-Other: o"), http.StatusBadGateway},
 		"blank after coding": {invalid("Encoding:", "Encoding :"), http.StatusBadGateway},
 		"control byte":       {invalid("X-Sig: s", "X-Sig: s\r\nX\x01Other: o"), http.StatusBadGateway},
 		"blank in trailer":   {valid + "X-Other : o\r\n\r\n", http.StatusBadGateway},
--- a/mesh/requestfuzz_test.go
+++ b/mesh/requestfuzz_test.go
@@ -212,6 +212,7 @@
 		"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 X\r\nX-Id: a\r\nX-Sig: s\r\n\r\n",
 		head + "X Y: o\r\nContent-Length: 4\r\n\r\nbody", head + "Content-Length : 2\r\n\r\nbody", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-T : t\r\n\r\n",
 		"HTTP/1.1 000 X" + head[14:] + "\r\n", "HTTP/1.1 999 X" + head[14:] + "\r\n", "HTTP/2.0" + head[8:] + "\r\n", "HTTP/1.0" + head[8:] + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		head + " X-T: t\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 103 X\r\nX : o\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
 	} {
 		f.Add([]byte(s))
@@ -266,7 +267,7 @@
 
 // strictHead matches a head of HTTP/1 and captures its minor version. net/http
 // accepts other versions, status codes and field names too.
-var strictHead = regexp.MustCompile(`^HTTP/1\.([0-9]) +[1-5][0-9][0-9](?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n(?:[!#$%&'*+\-.^_|~0-9A-Za-z` + "`" + `]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n(?:[ \t][^\x00-\x08\x0a-\x1f\x7f]*\r?\n)*)*\r?\n`)
+var strictHead = regexp.MustCompile(`^HTTP/1\.([0-9]) +[1-5][0-9][0-9](?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n(?:[!#$%&'*+\-.^_|~0-9A-Za-z` + "`" + `]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n)*\r?\n`)
 
 var (
 	transferCoding = regexp.MustCompile(`(?i)\ntransfer-encoding:`)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -112,6 +112,7 @@
 	lineStart [len(codingField)]byte
 	lineBytes int  // of the current line
 	coded     bool // a field states a transfer coding
+	folded    bool // a line begins with a blank, so that it continues the one before
 	lines     int
 	bytes     int
 	exceeded  error // the limit that the header section exceeds; nil if none
@@ -135,7 +136,7 @@
 // begin starts a header section, of which buffered has been read before.
 func (h *headerLimiter) begin(buffered []byte) {
 	h.parsing, h.complete, h.lineEmpty, h.lines, h.bytes = true, false, true, 0, 0
-	h.lineBytes, h.coded = 0, false
+	h.lineBytes, h.coded, h.folded = 0, false, false
 	h.count(buffered)
 }
 
@@ -153,6 +154,9 @@
 			return
 		}
 		h.lineEmpty = h.lineEmpty && len(bytes.Trim(line, "\r")) == 0
+		if h.lines > 0 && h.lineBytes == 0 && len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			h.folded = true
+		}
 		if h.lineBytes < len(codingField) {
 			copy(h.lineStart[h.lineBytes:], line)
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -255,7 +255,7 @@
 			return nil, shortened(unexpectedEOF(err))
 		}
 		x.conn.header.end()
-		if err := checkHead(resp, x.conn.header.coded); err != nil {
+		if err := checkHead(resp, &x.conn.header); err != nil {
 			return nil, err
 		}
 		switch {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -11,14 +12,17 @@
 const maxStatus = 599
 
 // checkHead returns an error for a head that http.ReadResponse accepts although
-// HTTP/1 does not allow it. coded is set if a field states a transfer coding.
-// HTTP/1.0 has none: the sizes of the chunks would be taken for a part of the body.
-func checkHead(r *http.Response, coded bool) error {
+// HTTP/1 does not allow it, with what lines shows of it. HTTP/1.0 has no transfer
+// codings: the sizes of the chunks would be taken for a part of the body. A line that
+// begins with a blank would be added to the value of the field before it.
+func checkHead(r *http.Response, lines *headerLimiter) error {
 	switch {
 	case r.ProtoMajor != 1:
 		return fmt.Errorf("response of protocol version %q, want HTTP/1", r.Proto)
-	case coded && r.ProtoMinor == 0:
+	case lines.coded && r.ProtoMinor == 0:
 		return fmt.Errorf("response of protocol version %q with a transfer coding", r.Proto)
+	case lines.folded:
+		return errors.New("header section has a line that begins with a blank")
 	case r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus:
 		return fmt.Errorf("status code %d is not between %d and %d", r.StatusCode, http.StatusContinue, maxStatus)
 	case !httpguts.ValidHeaderFieldValue(r.Status):
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -60,9 +60,10 @@
 			t.Errorf("%q: body %q, error %v", text, b, err)
 		}
 	}
-	for _, name := range []string{"X-Other ", "X Other", " X-Other", "X\tOther", "X-Other\t", "X\x00", "X\x01Other", "X\x7f", "X\xe9", "X(Other)", "X\"", ""} {
+	for _, name := range []string{"X-Other ", "X Other", " X-Other", "\tX-Other", "X\tOther", "X-Other\t", "X\x00", "X\x01Other", "X\x7f", "X\xe9", "X(Other)", "X\"", ""} {
 		for place, text := range map[string]string{
 			"first field":      head + name + ": o\r\n" + length,
+			"after a field":    head + "X: o\r\n" + name + ": o\r\n" + length,
 			"last field":       head + "Content-Length: 4\r\n" + name + ": o\r\n\r\nbody",
 			"early hints":      "HTTP/1.1 103 Early\r\n" + name + ": o\r\n\r\n" + head + length,
 			"trailer":          head + chunked + name + ": o\r\n\r\n",
