mesh: say how much of a configuration arrived when its transfer fails

The logs of a late configuration could not tell a transfer that is cut from one that never began, nor a slow transfer from slow decoding. configuration not fetched now states received_bytes and took_ms, configuration in force states bytes and decode_ms, and mesh_config_bytes_total counts what transfers between nodes carry, with those that failed.

TestMetricsPage checks the new metric against its page.

--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -8,7 +8,9 @@
 // SetConfig puts a configuration in force unless the current one is at least as
 // new. The error says why the configuration was refused.
 func (n *Node) SetConfig(raw []byte, source string) error {
+	begin := time.Now()
 	c, err := n.cfg.Decode(raw)
+	decoding := time.Since(begin)
 	if err != nil {
 		n.metrics.count(metricConfigsRefused)
 		n.log.configRefused(n.identity().Version, source, err)
@@ -26,7 +28,7 @@
 	}
 	n.config.Store(&configInForce{c, raw})
 	n.callerServer.setLimits(c.Limits)
-	n.log.configInForce(c.Version, previousVersion, c.Routes(), source)
+	n.log.configInForce(c.Version, previousVersion, c.Routes(), len(raw), decoding, source)
 	if n.configReader.Load() {
 		n.peers.announce(allZones)
 	} else {
@@ -53,6 +55,10 @@
 	maxCrossZoneFetchDelay = 850 * time.Millisecond
 	// metricCrossZoneFetches counts configurations fetched from another zone.
 	metricCrossZoneFetches = "mesh_config_far_reads_total"
+	// metricConfigBytesSent and metricConfigBytesReceived count the bytes of
+	// configurations in transfers between nodes, with those of failed ones.
+	metricConfigBytesSent     = "mesh_config_bytes_total.sent"
+	metricConfigBytesReceived = "mesh_config_bytes_total.received"
 	// metricConfigsRefused counts configurations that could not be decoded or are
 	// invalid. The node goes on with the version in force.
 	metricConfigsRefused = "mesh_config_refused_total"
@@ -142,9 +148,10 @@
 }
 
 func (n *Node) fetchFrom(addr string) {
+	begin := time.Now()
 	raw, err := n.remote.fetchConfig(context.Background(), addr)
 	if err != nil {
-		n.log.configNotFetched(n.identity().Version, addr, err)
+		n.log.configNotFetched(n.identity().Version, addr, len(raw), time.Since(begin), err)
 		return
 	}
 	_ = n.SetConfig(raw, addr) // counts and logs a refused configuration
--- a/mesh/eventlog.go
+++ b/mesh/eventlog.go
@@ -118,8 +118,11 @@
 	}).Info("target status changed")
 }
 
-func (l *eventLog) configInForce(version, before int64, routes int, source string) {
-	l.log.WithFields(log.Fields{"version": version, "before": before, "routes": routes, "source": source}).Info("configuration in force")
+// configInForce logs a configuration of size bytes that took decoding to decode.
+func (l *eventLog) configInForce(version, before int64, routes, size int, decoding time.Duration, source string) {
+	l.log.WithFields(log.Fields{
+		"version": version, "before": before, "routes": routes, "bytes": size, "decode_ms": decoding.Milliseconds(), "source": source,
+	}).Info("configuration in force")
 }
 
 func (l *eventLog) storeEra(era, before int64) {
@@ -132,8 +135,11 @@
 	l.log.WithFields(log.Fields{"in_force": inForce, "source": source, "error": err.Error()}).Error("configuration refused")
 }
 
-func (l *eventLog) configNotFetched(inForce int64, source string, err error) {
-	l.log.WithFields(log.Fields{"in_force": inForce, "source": source, "error": err.Error()}).Warn("configuration not fetched")
+// configNotFetched logs a transfer that failed after received bytes.
+func (l *eventLog) configNotFetched(inForce int64, source string, received int, took time.Duration, err error) {
+	l.log.WithFields(log.Fields{
+		"in_force": inForce, "source": source, "received_bytes": received, "took_ms": took.Milliseconds(), "error": err.Error(),
+	}).Warn("configuration not fetched")
 }
 
 func (l *eventLog) suspended(gap time.Duration) {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -44,8 +44,10 @@
 	return gometrics.GetOrRegisterHistogram(name, m.registry, gometrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 }
 
-func (m *metrics) count(name string) {
-	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+func (m *metrics) count(name string) { m.countN(name, 1) }
+
+func (m *metrics) countN(name string, n int) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(int64(n))
 }
 
 // add increases a sum of expected values. It does nothing if m is nil.
--- a/mesh/metrics_test.go
+++ b/mesh/metrics_test.go
@@ -23,6 +23,7 @@
 	m.count("mesh_datagrams_total.invalid")
 	m.count(metricCrossZoneFetches)
 	m.count(metricConfigsRefused)
+	m.countN(metricConfigBytesReceived, 1)
 	m.count(metricForeignAnswers)
 	m.count(metricMemoryRevoked)
 	m.count(metricMemoryRefused)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -139,7 +139,7 @@
 		now:          n.now, outboundCalls: calls, budget: newBudget(n.now, policy, n.serviceHosts, newCallBudget(n.now, n.view, calls, n.cfg.Seed), n.cfg.Seed),
 	}
 	n.hostNode.budget.metrics = n.metrics
-	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, onStatus: n.statusReceived}
+	n.remote = &nodeClient{client: between, headers: &n.cfg.Headers, resources: n.resources, metrics: n.metrics, onStatus: n.statusReceived}
 	d := &dispatcher{
 		localAddr: n.cfg.NodeAddr, zone: n.cfg.Zone, view: n.view, local: n.hostNode, remote: n.remote,
 		latencies: newLatencies(), hedgeDelays: newHedgeDelays(), log: n.log, metrics: n.metrics,
@@ -239,7 +239,8 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	_, _ = w.Write(c.raw) // a node that disconnected asks again
+	sent, _ := w.Write(c.raw) // a node that disconnected asks again
+	n.metrics.countN(metricConfigBytesSent, sent)
 }
 
 // closeIdle periodically closes idle connections.
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -38,6 +38,7 @@
 	headers *Headers
 	// resources bounds the memory of responses.
 	resources *resources
+	metrics   *metrics
 	// onStatus is called with each status that a host node sends.
 	onStatus func(addr string, s admission.Status)
 }
@@ -184,7 +185,8 @@
 	return e
 }
 
-// fetchConfig fetches the configuration in force at another node.
+// fetchConfig fetches the configuration in force at another node. If the transfer
+// fails, it returns what was received with the error.
 func (c *nodeClient) fetchConfig(ctx context.Context, addr string) ([]byte, error) {
 	return c.fetchNewerConfig(ctx, addr, 0)
 }
@@ -209,7 +211,9 @@
 	if httpResp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("node at %s responded to a configuration request with status %d", addr, httpResp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(httpResp.Body, maxConfigBytes))
+	raw, err := io.ReadAll(io.LimitReader(httpResp.Body, maxConfigBytes))
+	c.metrics.countN(metricConfigBytesReceived, len(raw))
+	return raw, err
 }
 
 const (
