mesh: compress configurations between nodes

Callers of all hosts saw failures while a large version spread: each node of a zone fetched 620 KB from the first one that had it, which filled that node's link and their own, so reservations and heartbeats were late too (419 lines "host node not reached" in the second after 1,400 routes were added, 10 in the one before).

Routes repeat most of their text: the 4,200 routes of the test take 61 KB of 620 with gzip. Nodes now ask for this form, and one that got it hands it on as it is, so only readers of the store compress. Nodes of an earlier version ask for the plain form and send it. What a damaged or too long one holds is refused (TestConfigEncodings).

TestConfigOverSlowLink sends random bytes now, so that it still takes over a second on the link.

--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -3,13 +3,25 @@
 import (
 	"context"
 	"time"
+
+	"hyssopbridge/config/dynamic"
 )
 
+// configInForce is a configuration with the forms in which other nodes get it.
+type configInForce struct {
+	*dynamic.Config
+	encoded encodedConfig
+}
+
 // SetConfig puts a configuration in force unless the current one is at least as
 // new. The error says why the configuration was refused.
 func (n *Node) SetConfig(raw []byte, source string) error {
+	return n.setConfig(newEncodedConfig(raw), source)
+}
+
+func (n *Node) setConfig(encoded encodedConfig, source string) error {
 	begin := time.Now()
-	c, err := n.cfg.Decode(raw)
+	c, err := n.cfg.Decode(encoded.raw)
 	decoding := time.Since(begin)
 	if err != nil {
 		n.metrics.count(metricConfigsRefused)
@@ -26,9 +38,9 @@
 	if c.Version <= previousVersion {
 		return nil
 	}
-	n.config.Store(&configInForce{c, raw})
+	n.config.Store(&configInForce{c, encoded})
 	n.callerServer.setLimits(c.Limits)
-	n.log.configInForce(c.Version, previousVersion, c.Routes(), len(raw), decoding, source)
+	n.log.configInForce(c.Version, previousVersion, c.Routes(), len(encoded.raw), decoding, source)
 	if n.configReader.Load() {
 		n.peers.announce(allZones)
 	} else {
@@ -172,12 +184,12 @@
 
 func (n *Node) fetchFrom(ctx context.Context, addr string, onProgress func()) {
 	begin := time.Now()
-	raw, err := n.remote.fetchConfig(ctx, addr, onProgress)
+	config, received, err := n.remote.fetchConfig(ctx, addr, onProgress)
 	if err != nil {
 		if ctx.Err() == nil { // otherwise the version came from elsewhere
-			n.log.configNotFetched(n.identity().Version, addr, len(raw), time.Since(begin), err)
+			n.log.configNotFetched(n.identity().Version, addr, received, time.Since(begin), err)
 		}
 		return
 	}
-	_ = n.SetConfig(raw, addr) // counts and logs a refused configuration
+	_ = n.setConfig(config, addr) // counts and logs a refused configuration
 }
--- a/mesh/configtransfer_test.go
+++ b/mesh/configtransfer_test.go
@@ -1,12 +1,13 @@
 package mesh
 
 import (
+	"bufio"
 	"context"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -75,9 +76,7 @@
 	source, link := startNodeBehindSlowLink(t)
 	n := startNode(t, nil)
 	connectNodes(t, source, n)
-	noise := make([]byte, 1<<20)
-	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise)
-	config := "2 0 " + hex.EncodeToString(noise)
+	config := incompressible(2 << 20)
 	setConfig(t, config, source)
 	testutil.Eventually(t, "the configuration is in force", func() bool { return n.Config() != nil })
 	if got, limit := link.carried.Load(), int64(len(config))*5/4; got > limit {
@@ -103,6 +102,13 @@
 	}
 }
 
+// incompressible returns version 2 of a configuration followed by random bytes.
+func incompressible(size int) string {
+	noise := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise)
+	return "2 0 " + string(noise)
+}
+
 // manyRoutes returns version 2 of a configuration followed by the text of routes
 // with random names.
 func manyRoutes(routes int) string {
@@ -121,3 +127,56 @@
 	}
 	return text.String()
 }
+
+// Guards against nodes of two versions that do not get configurations from each
+// other, and against a compressed one that is damaged or expands without bound.
+func TestConfigEncodings(t *testing.T) {
+	n := startNode(t, nil)
+	setConfig(t, manyRoutes(10), n)
+	ask := func(fields ...string) (encoding string, body []byte) {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+n.cfg.NodeAddr, nil)
+		req.Header.Set(headerConfig, "1")
+		for _, f := range fields {
+			req.Header.Set("Accept-Encoding", f)
+		}
+		resp, err := (&http.Client{Transport: &http.Transport{DisableCompression: true}}).Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		body, err = io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.Header.Get("Content-Encoding"), body
+	}
+	if encoding, body := ask(); encoding != "" || string(body) != manyRoutes(10) {
+		t.Errorf("an earlier version got encoding %q, %d bytes", encoding, len(body))
+	}
+	encoding, body := ask(encodingGzip)
+	if raw, err := decompress(body); encoding != encodingGzip || err != nil || string(raw) != manyRoutes(10) {
+		t.Errorf("encoding %q, %d bytes, error %v", encoding, len(raw), err)
+	}
+	for name, c := range map[string]struct {
+		encoding string
+		content  []byte
+		valid    bool
+	}{
+		"from an earlier version": {"", []byte("7"), true},
+		"compressed":              {encodingGzip, compress([]byte("7")), true},
+		"damaged":                 {encodingGzip, compress([]byte("7"))[:20], false},
+		"too long":                {encodingGzip, compress(make([]byte, maxConfigBytes+1)), false},
+		"unknown encoding":        {"br", []byte("7"), false},
+	} {
+		source := listen(t, testutil.FreeAddr(t), func(conn net.Conn) {
+			go serveRequests(conn, func(_ *bufio.Reader, r *http.Request) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Encoding: %s\r\n\r\n%s", len(c.content), c.encoding, c.content)
+				return true
+			})
+		})
+		got, _, err := n.remote.fetchConfig(t.Context(), source.Addr().String(), nil)
+		if (err == nil) != c.valid || (c.valid && string(got.raw) != "7") {
+			t.Errorf("%s: %d bytes, error %v", name, len(got.raw), err)
+		}
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,11 +88,6 @@
 	cancel        context.CancelFunc
 }
 
-type configInForce struct {
-	*dynamic.Config
-	raw []byte
-}
-
 // New returns a node that has not been started.
 func New(cfg Config) *Node {
 	if cfg.Clock == nil {
@@ -216,34 +210,6 @@
 	n.serveConfig(w, r)
 }
 
-// serveConfig responds to another node with the configuration in force or its
-// version.
-func (n *Node) serveConfig(w http.ResponseWriter, r *http.Request) {
-	c := n.config.Load()
-	if c == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	versionOnly := r.Header.Get(headerConfig) == headerConfigVersion
-	// Nodes of earlier versions state theirs to have it confirmed.
-	after, err := strconv.ParseInt(r.Header.Get(headerConfigAfter), 10, 64)
-	confirms := err == nil && after > 0
-	if (versionOnly || confirms) && !n.suspension.confirmed() {
-		// This node may have missed versions itself, so it confirms none.
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if versionOnly {
-		w.Header()[headerConfigAfter] = []string{strconv.FormatInt(c.Version, 10)}
-	}
-	if versionOnly || (err == nil && c.Version <= after) {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	sent, _ := w.Write(c.raw) // a node that disconnected asks again
-	n.metrics.countN(metricConfigBytesSent, sent)
-}
-
 // closeIdle periodically closes idle connections.
 func (n *Node) closeIdle(ctx context.Context) {
 	loop.Every(ctx, closeIdleInterval, func() {
--- a/mesh/remote.go
+++ b/mesh/remote.go
@@ -184,37 +184,3 @@
 	}
 	return e
 }
-
-// fetchConfig fetches the configuration in force at another node. If the transfer
-// fails, it returns what was received with the error. onProgress is called while
-// the transfer proceeds.
-func (c *nodeClient) fetchConfig(ctx context.Context, addr string, onProgress func()) ([]byte, error) {
-	ctx, stall := upstream.NewStallTimer(ctx, configStallTimeout, configStallTimeout, configProgressBytes)
-	defer stall.Stop()
-	stall.OnProgress = onProgress
-	req := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/"}, Host: addr,
-		Header: http.Header{"User-Agent": nil, headerConfig: {"1"}}, Body: http.NoBody,
-	}
-	httpResp, err := c.client.Do(ctx, addr, req, upstream.Options{})
-	if err != nil {
-		return nil, err
-	}
-	defer httpResp.Body.Close()
-	if httpResp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("node at %s responded to a configuration request with status %d", addr, httpResp.StatusCode)
-	}
-	raw, err := io.ReadAll(io.LimitReader(stall.Body(httpResp.Body), maxConfigBytes))
-	c.metrics.countN(metricConfigBytesReceived, len(raw))
-	return raw, err
-}
-
-const (
-	// configStallTimeout is how long a transfer of a configuration may take for
-	// configProgressBytes.
-	configStallTimeout = time.Second
-	// configProgressBytes count as progress of a transfer. Another node is asked as
-	// well while they take longer than fetchHedgeDelay.
-	configProgressBytes = 16 << 10
-	maxConfigBytes      = 16 << 20
-)
