--- a/mesh/configtransfer_test.go
+++ b/mesh/configtransfer_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
-	"golang.org/x/time/rate"
-
 	"hyssopbridge/internal/testutil"
 )
 
@@ -25,49 +21,11 @@
 	configBoundSeconds = 2.5
 )
 
-// slowLink carries what a node sends to other nodes, at linkRate for all of them
-// together.
-type slowLink struct {
-	carried atomic.Int64 // bytes that left the node
-	limiter *rate.Limiter
-}
-
-// startNodeBehindSlowLink starts a node that others reach through a slowLink.
-func startNodeBehindSlowLink(t *testing.T) (*Node, *slowLink) {
+// startNodeBehindSlowLink starts a node whose answers to other nodes pass a link.
+func startNodeBehindSlowLink(t *testing.T) (*Node, *testutil.SlowLink) {
 	t.Helper()
-	const chunk = 4 << 10
-	link := &slowLink{limiter: rate.NewLimiter(linkRate, chunk)}
 	n := startNodeWith(t, nil, func(c *Config) { c.NodeListenAddr = testutil.FreeAddr(t) })
-	listen(t, n.cfg.NodeAddr, func(peer net.Conn) {
-		inner, err := net.Dial("tcp4", n.cfg.NodeListenAddr)
-		if err != nil {
-			peer.Close()
-			return
-		}
-		// A link holds little of what is sent. Less than the packets of the loopback
-		// device (64 KiB) would make it slower than linkRate.
-		_ = inner.(*net.TCPConn).SetReadBuffer(128 << 10)
-		go func() {
-			_, _ = io.Copy(inner, peer)
-			inner.Close()
-		}()
-		go func() {
-			defer peer.Close()
-			defer inner.Close()
-			buf := make([]byte, chunk)
-			for {
-				k, err := inner.Read(buf)
-				if err != nil || link.limiter.WaitN(context.Background(), k) != nil {
-					return
-				}
-				if _, err := peer.Write(buf[:k]); err != nil {
-					return
-				}
-				link.carried.Add(int64(k))
-			}
-		}()
-	})
-	return n, link
+	return n, testutil.StartSlowLink(t, n.cfg.NodeAddr, n.cfg.NodeListenAddr, linkRate)
 }
 
 // Guards against transfers that are given up while they proceed: a configuration
@@ -79,7 +37,7 @@
 	config := incompressible(2 << 20)
 	setConfig(t, config, source)
 	testutil.Eventually(t, "the configuration is in force", func() bool { return n.Config() != nil })
-	if got, limit := link.carried.Load(), int64(len(config))*5/4; got > limit {
+	if got, limit := link.Carried(), int64(len(config))*5/4; got > limit {
 		t.Errorf("the transfer of %d bytes took %d bytes on the link, want at most %d", len(config), got, limit)
 	}
 }
@@ -97,7 +55,7 @@
 	for _, n := range nodes {
 		testutil.Eventually(t, "the configuration is in force", func() bool { return n.Config() != nil })
 	}
-	if got, limit := link.carried.Load(), int64(configBoundSeconds*linkRate); got > limit {
+	if got, limit := link.Carried(), int64(configBoundSeconds*linkRate); got > limit {
 		t.Errorf("%d bytes left the first node until all had the version, want at most the %d that its link carries in time", got, limit)
 	}
 }
@@ -123,7 +81,7 @@
 	var text strings.Builder
 	text.WriteString("2 0 ")
 	for range routes {
-		fmt.Fprintf(&text, `{"name":"r-%s","path_prefix":"/%s/","kind":"safe","timeout_s":8,"target_latency_s":4,"priority":2,"service":"huvo11a","max_attempts":2},`, word(7), word(8))
+		fmt.Fprintf(&text, `{"name":"r-%s","prefix":"/%s/","idempotent":true,"timeout_ms":8000,"objective_ms":4000,"rank":2,"shares":["service-11a"],"attempts":2},`, word(7), word(8))
 	}
 	return text.String()
 }
