mesh: spread a configuration from node to node

Of a version that hardly compresses, or where the first node of a zone that has it has a slow link, all nodes of the zone took a copy over that link at the same time, so that each of them got it late, and requests through that host were late too. The nodes that got it first were not asked, since all had begun with the same source.

A node sends its configuration to four others at a time and answers 429 to more, which then ask another node that has it, or the same one 0.1 s later; other availability zones after 0.5 s. Each receiver soon is a source, so a version spreads as a tree. A transfer counts until the receiver closes its connection: the system's buffers take a response long before a slow link has carried it.

--- a/mesh/configsync.go
+++ b/mesh/configsync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"hyssopbridge/config/dynamic"
@@ -55,6 +57,11 @@
 	// fetchHedgeDelay is how long a transfer may make no progress before another
 	// node is asked as well.
 	fetchHedgeDelay = 250 * time.Millisecond
+	// busySourceDelay is the mean pause before busy nodes are asked again.
+	busySourceDelay = 100 * time.Millisecond
+	// busyZoneWait is how long a node prefers busy nodes of its availability zone to
+	// those of others.
+	busyZoneWait = 500 * time.Millisecond
 	// crossZoneFetchDelay is how long a node that learns of a newer
 	// configuration from another availability zone waits for a node of its own
 	// zone to get it. A configuration with many routes takes hundreds of KB,
@@ -116,80 +123,124 @@
 	}()
 }
 
-// fetchVersion asks nodes that have a version one after another until it is in
-// force. The next one is asked if a node fails or makes no progress for
-// fetchHedgeDelay: it may have stopped after it announced the version. A transfer
-// that proceeds is not doubled, since both would share the link of this node.
+// fetchVersion gets a version from other nodes, see configFetch.
 func (n *Node) fetchVersion(version int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // ends the transfers that are still running
-	asked := map[string]bool{}
-	ended := make(chan struct{}, maxFetchNodes)
-	progress := make(chan struct{}, 1)
-	onProgress := func() {
-		select {
-		case progress <- struct{}{}:
-		default:
-		}
+	f := &configFetch{
+		node: n, version: version, begin: time.Now(), asked: map[string]bool{}, busy: map[string]bool{},
+		ended: make(chan fetchEnd, maxFetchNodes), progress: make(chan struct{}, 1),
 	}
-	running := 0
-	for n.identity().Version < version {
-		if addr, ok := n.nextSource(version, asked); ok {
-			asked[addr] = true
-			running++
-			go func() {
-				n.fetchFrom(ctx, addr, onProgress)
-				ended <- struct{}{}
-			}()
-		}
-		if running == 0 {
-			return
+	f.run(ctx)
+}
+
+// configFetch asks nodes that have a version one after another until it is in
+// force. The next one is asked if a node fails or makes no progress for
+// fetchHedgeDelay: it may have stopped after it announced the version. A transfer
+// that proceeds is not doubled, since both would share the link of this node.
+type configFetch struct {
+	node    *Node
+	version int64
+	begin   time.Time
+	asked   map[string]bool // nodes whose transfer failed or is running
+	busy    map[string]bool // nodes that sent to others when they were last asked
+	running int
+	ended   chan fetchEnd
+	// progress receives a value when a transfer proceeds.
+	progress chan struct{}
+}
+
+type fetchEnd struct {
+	addr string
+	err  error
+}
+
+func (f *configFetch) run(ctx context.Context) {
+	for f.isBehind() {
+		if addr, ok := f.nextSource(); ok {
+			f.start(ctx, addr)
 		}
-		if awaitEndOrStall(ended, progress) {
-			running--
+		switch {
+		case f.running > 0:
+			f.awaitEndOrStall()
+		case len(f.busy) > 0:
+			time.Sleep(busySourceDelay/2 + rand.N(busySourceDelay))
+			clear(f.busy)
+		default:
+			return // heartbeats of nodes that have the version begin another fetch
 		}
 	}
 }
 
+func (f *configFetch) isBehind() bool { return f.node.identity().Version < f.version }
+
+func (f *configFetch) start(ctx context.Context, addr string) {
+	f.asked[addr] = true
+	f.running++
+	go func() {
+		f.ended <- fetchEnd{addr, f.node.fetchFrom(ctx, addr, f.noteProgress)}
+	}()
+}
+
+func (f *configFetch) noteProgress() {
+	select {
+	case f.progress <- struct{}{}:
+	default:
+	}
+}
+
 // awaitEndOrStall waits until a transfer has ended or none has made progress for
-// fetchHedgeDelay. It reports whether one has ended.
-func awaitEndOrStall(ended, progress <-chan struct{}) bool {
+// fetchHedgeDelay.
+func (f *configFetch) awaitEndOrStall() {
 	timer := time.NewTimer(fetchHedgeDelay)
 	defer timer.Stop()
 	for {
 		select {
-		case <-ended:
-			return true
-		case <-progress:
+		case end := <-f.ended:
+			f.running--
+			if errors.Is(end.err, errConfigBusy) {
+				delete(f.asked, end.addr)
+				f.busy[end.addr] = true
+			}
+			return
+		case <-f.progress:
 			timer.Reset(fetchHedgeDelay)
 		case <-timer.C:
-			return false
+			return
 		}
 	}
 }
 
-// nextSource returns a node that has a version and has not been asked.
-func (n *Node) nextSource(version int64, asked map[string]bool) (string, bool) {
-	if len(asked) == maxFetchNodes {
+// nextSource returns a node to ask. Other availability zones come last: while
+// nodes of the own one are only busy, they are asked after busyZoneWait.
+func (f *configFetch) nextSource() (string, bool) {
+	if len(f.asked) == maxFetchNodes {
 		return "", false
 	}
-	sameZone, otherZones := n.peers.nodesWithVersion(version)
-	for _, addr := range append(sameZone, otherZones...) {
-		if !asked[addr] {
+	sameZone, otherZones := f.node.peers.nodesWithVersion(f.version)
+	candidates := sameZone
+	if len(f.busy) == 0 || time.Since(f.begin) > busyZoneWait {
+		candidates = append(candidates, otherZones...)
+	}
+	for _, addr := range candidates {
+		if !f.asked[addr] && !f.busy[addr] {
 			return addr, true
 		}
 	}
 	return "", false
 }
 
-func (n *Node) fetchFrom(ctx context.Context, addr string, onProgress func()) {
+// fetchFrom fetches the configuration in force at another node and puts it in
+// force.
+func (n *Node) fetchFrom(ctx context.Context, addr string, onProgress func()) error {
 	begin := time.Now()
 	config, received, err := n.remote.fetchConfig(ctx, addr, onProgress)
-	if err != nil {
-		if ctx.Err() == nil { // otherwise the version came from elsewhere
-			n.log.configNotFetched(n.identity().Version, addr, received, time.Since(begin), err)
-		}
-		return
+	switch {
+	case err == nil:
+		return n.setConfig(config, addr) // counts and logs a refused configuration
+	case ctx.Err() != nil, errors.Is(err, errConfigBusy): // the version came from elsewhere, or will
+	default:
+		n.log.configNotFetched(n.identity().Version, addr, received, time.Since(begin), err)
 	}
-	_ = n.setConfig(config, addr) // counts and logs a refused configuration
+	return err
 }
--- a/mesh/configtransfer.go
+++ b/mesh/configtransfer.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,8 +26,16 @@
 	configProgressBytes = 16 << 10
 	maxConfigBytes      = 16 << 20
 	encodingGzip        = "gzip"
+	// maxConfigTransfers bounds the nodes to which a node sends its configuration
+	// at the same time. Each of those that have it soon sends it on, so that a
+	// version spreads as a tree and no link carries it once for each node.
+	maxConfigTransfers = 4
 )
 
+// errConfigBusy is returned for a node that sends its configuration to
+// maxConfigTransfers others.
+var errConfigBusy = errors.New("node sends its configuration to others")
+
 // encodedConfig is a configuration in the forms in which it is transferred.
 type encodedConfig struct {
 	raw []byte // as the source has it
@@ -82,13 +92,52 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	select {
+	case n.configTransfers <- struct{}{}:
+		defer func() { <-n.configTransfers }()
+	default:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	content := c.encoded.raw
 	if r.Header.Get("Accept-Encoding") == encodingGzip {
 		content = c.encoded.compressed()
 		w.Header().Set("Content-Encoding", encodingGzip)
 	}
-	sent, _ := w.Write(content) // a node that disconnected asks again
-	n.metrics.countN(metricConfigBytesSent, sent)
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	w.Header().Set("Connection", "close") // so that the receiver closes it, see awaitReceipt
+	n.metrics.countN(metricConfigBytesSent, writeSteadily(w, content))
+	awaitReceipt(w, r)
+}
+
+// awaitReceipt waits until the receiver has the response and closes the connection,
+// for at most configStallTimeout. The buffers of the system take a response long
+// before a slow link has carried it.
+func awaitReceipt(w http.ResponseWriter, r *http.Request) {
+	if http.NewResponseController(w).Flush() != nil {
+		return
+	}
+	timer := time.NewTimer(configStallTimeout)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+	case <-timer.C:
+	}
+}
+
+// writeSteadily writes b until the receiver disconnects or takes longer than
+// configStallTimeout for configProgressBytes. It returns the number of bytes written.
+func writeSteadily(w http.ResponseWriter, b []byte) (sent int) {
+	control := http.NewResponseController(w)
+	for chunk := range slices.Chunk(b, configProgressBytes) {
+		// Without a deadline, which a closed connection does not take, the write fails.
+		_ = control.SetWriteDeadline(time.Now().Add(configStallTimeout))
+		k, err := w.Write(chunk)
+		if sent += k; err != nil {
+			break
+		}
+	}
+	return sent
 }
 
 // fetchConfig fetches the configuration in force at another node. received is the
@@ -107,6 +156,9 @@
 		return config, 0, err
 	}
 	defer httpResp.Body.Close()
+	if httpResp.StatusCode == http.StatusTooManyRequests {
+		return config, 0, errConfigBusy
+	}
 	if httpResp.StatusCode != http.StatusOK {
 		return config, 0, fmt.Errorf("node at %s responded to a configuration request with status %d", addr, httpResp.StatusCode)
 	}
--- a/mesh/configtransfer_test.go
+++ b/mesh/configtransfer_test.go
@@ -60,6 +60,45 @@
 	}
 }
 
+// Guards against a version that all nodes of a zone fetch from the first one that
+// has it, although those that got it could hand it on.
+func TestConfigSpreadsFromNodeToNode(t *testing.T) {
+	source, link := startNodeBehindSlowLink(t)
+	nodes := []*Node{source}
+	for range 20 {
+		nodes = append(nodes, startNode(t, nil))
+	}
+	connectNodes(t, nodes...)
+	setConfig(t, incompressible(300_000), source)
+	for _, n := range nodes {
+		testutil.Eventually(t, "the configuration is in force", func() bool { return n.Config() != nil })
+	}
+	if got, limit := link.Carried(), int64(configBoundSeconds*linkRate); got > limit {
+		t.Errorf("%d bytes left the first node until all had the version, want at most the %d that its link carries in time", got, limit)
+	}
+}
+
+// Guards against receivers that stand still and keep others from getting a version.
+func TestConfigDespiteStalledReceivers(t *testing.T) {
+	source, n := startNode(t, nil), startNode(t, nil)
+	connectNodes(t, source, n)
+	n.fetching.Store(true) // until the transfers below have begun
+	setConfig(t, incompressible(8<<20), source)
+	for range maxConfigTransfers {
+		c, err := net.Dial("tcp4", source.cfg.NodeAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: n\r\n%s: 1\r\n\r\n", headerConfig)
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.fetching.Store(false)
+	testutil.Eventually(t, "the configuration is in force", func() bool { return n.Config() != nil })
+}
+
 // incompressible returns version 2 of a configuration followed by random bytes.
 func incompressible(size int) string {
 	noise := make([]byte, size)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -72,20 +72,23 @@
 	resources    *resources
 	nodeServer   *nodeServer
 
-	config        atomic.Pointer[configInForce]
-	configMu      sync.Mutex
-	fetching      atomic.Bool
-	fetchDeferred atomic.Bool // a fetch from another availability zone waits for its delay
-	service       atomic.Pointer[string]
-	retryPolicy   atomic.Pointer[RetryPolicy]
-	announced     atomic.Pointer[announcedState]
-	configReader  atomic.Bool
-	storeEra      atomic.Int64
-	stopping      atomic.Bool
-	shutdown      *shutdown
-	waiting       context.Context // ends when requests may no longer wait for a target
-	endWaiting    context.CancelFunc
-	cancel        context.CancelFunc
+	config   atomic.Pointer[configInForce]
+	configMu sync.Mutex
+	fetching atomic.Bool
+	// configTransfers holds a value for each transfer of the configuration to
+	// another node.
+	configTransfers chan struct{}
+	fetchDeferred   atomic.Bool // a fetch from another availability zone waits for its delay
+	service         atomic.Pointer[string]
+	retryPolicy     atomic.Pointer[RetryPolicy]
+	announced       atomic.Pointer[announcedState]
+	configReader    atomic.Bool
+	storeEra        atomic.Int64
+	stopping        atomic.Bool
+	shutdown        *shutdown
+	waiting         context.Context // ends when requests may no longer wait for a target
+	endWaiting      context.CancelFunc
+	cancel          context.CancelFunc
 }
 
 // New returns a node that has not been started.
@@ -93,7 +96,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.SinceBoot
 	}
-	n := &Node{cfg: cfg, log: &eventLog{cfg.Log}, wallStart: time.Now(), clockStart: cfg.Clock(), metrics: newMetrics()}
+	n := &Node{cfg: cfg, log: &eventLog{cfg.Log}, wallStart: time.Now(), clockStart: cfg.Clock(), metrics: newMetrics(), configTransfers: make(chan struct{}, maxConfigTransfers)}
 	empty := ""
 	n.service.Store(&empty)
 	n.retryPolicy.Store(&RetryPolicy{})
--- a/mesh/suspension.go
+++ b/mesh/suspension.go
@@ -114,12 +114,11 @@
 			continue
 		}
 		if a.version > n.identity().Version {
-			n.fetchFrom(ctx, a.addr, func() {})
+			err = n.fetchFrom(ctx, a.addr, func() {})
 		}
 		if a.version <= n.identity().Version {
 			return nil
 		}
-		err = fmt.Errorf("version %d was not fetched", a.version)
 	}
 	return fmt.Errorf("no node confirms version %d: %w", n.identity().Version, err)
 }
